--- /dev/null
+++ b/thornladder/adapter/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts instances of the decision module behind the bench's wire."""
--- /dev/null
+++ b/thornladder/decide.py
@@ -0,0 +1,805 @@
+"""Every decision of a thornladder node.
+
+A host creates one `Node` for each balancer node and hands it a `Host`; that protocol and plain types are in
+`thornladder/interface.py`. It tells the node what happened through the `on_…` methods, each with the present
+time in seconds; the node acts by calling the host at once. Nodes share nothing, and the same events with the
+same seed lead to the same calls. `Node.may_push` and `Node.may_nack` are the only gates to pushes and nacks.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Iterable
+from math import exp, floor
+
+from thornladder.interface import (
+    ColdRule,
+    Entry,
+    Host,
+    Invocation,
+    Kind,
+    Limits,
+    ListKind,
+    Offering,
+    Outcome,
+    State,
+    Tenant,
+)
+
+
+class Chance:
+    """A linear congruential generator; only the high bits are used."""
+
+    def __init__(self, seed: int) -> None:
+        self.state = seed & 0xFFFFFFFFFFFFFFFF
+        self.draw()
+
+    def draw(self) -> float:
+        """A number from 0 up to, not including, 1."""
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        return (self.state >> 33) / 0x80000000
+
+
+class Fading:
+    """A sum in which what was added `span` seconds ago counts for 1/e of it."""
+
+    __slots__ = ("span", "sum", "at")
+
+    def __init__(self, span: float) -> None:
+        self.span, self.sum, self.at = span, 0.0, 0.0
+
+    def read(self, now: float) -> float:
+        if now > self.at:
+            self.sum *= exp((self.at - now) / self.span)
+            self.at = now
+        return self.sum
+
+    def add(self, amount: float, now: float) -> None:
+        self.sum = self.read(now) + amount
+
+
+class Backend:
+    """What the list says of one backend, and since when this node ramps it."""
+
+    __slots__ = ("id", "zone", "cell", "weight", "started_at", "usable", "ramp_start", "absent_since")
+
+    def __init__(self, entry: Entry) -> None:
+        self.id = entry.backend
+        self.ramp_start: float | None = None  # None: mature
+        self.absent_since: float | None = None
+        self.usable = False  # listed and not draining
+        self.started_at = 0.0
+        self.describe(entry)
+
+    def describe(self, entry: Entry) -> None:
+        self.zone, self.cell, self.weight = entry.zone, entry.cell, entry.weight
+
+    def group(self, group: str) -> object:
+        """What two backends have in common when one discards repeats of what the other ran."""
+        return self.zone if group == "zone" else self.cell if group == "cell" else None
+
+
+class Ramp:
+    """The curve by which a new backend's weight grows."""
+
+    # Linear: the surest curve that stays under a capacity known only to rise no slower than evenly.
+    AGGRESSION = 1.0
+
+    def __init__(self, warm_up: float, cold_share: float) -> None:
+        self.length = max(warm_up, 1.0)
+        self.floor = cold_share
+
+    def ratio(self, backend: Backend, now: float) -> float:
+        if backend.ramp_start is None:
+            return 1.0
+        elapsed = min(max(now - backend.ramp_start, 0.0), self.length)
+        factor = max(elapsed, 1.0) / self.length
+        return min(1.0, max(self.floor, factor ** (1.0 / self.AGGRESSION)))
+
+
+class Roster:
+    """The backends of the list, and the clock that each one's ramp runs on."""
+
+    # Late arrivals after a restart come with the first fresh list: a few seconds of notice and a call or two.
+    GRACE = 5.0
+
+    def __init__(self, ramp: Ramp, now: float) -> None:
+        self.ramp = ramp
+        self.grace_until = now + self.GRACE
+        self.known: dict[str, Backend] = {}
+        self.baseline = False
+
+    def on_list(self, kind: ListKind, entries: Iterable[Entry], now: float) -> None:
+        seen = set()
+        for entry in entries:
+            seen.add(entry.backend)
+            if entry.state is State.RUNNING:
+                self._running(entry, now)
+            elif entry.backend in self.known:
+                self._leave(self.known[entry.backend], now)
+        if kind is not ListKind.CHANGES:
+            for backend in self.known.values():
+                if backend.id not in seen:
+                    self._leave(backend, now)
+        self.baseline = True
+
+    def usable(self) -> list[Backend]:
+        return [self.known[id] for id in sorted(self.known) if self.known[id].usable]
+
+    def back(self, backend: Backend, away_since: float, restarted: bool, now: float) -> None:
+        """A backend that the health view kept out is pickable again."""
+        if (
+            restarted
+            and (backend.ramp_start is None or backend.ramp_start < away_since)
+            or now - away_since >= self.ramp.length
+        ):
+            backend.ramp_start = now
+
+    def _running(self, entry: Entry, now: float) -> None:
+        started = entry.started_at or 0.0
+        recent = entry.started_at is not None and now - started < self.ramp.length
+        backend = self.known.get(entry.backend)
+        if backend is None:
+            backend = self.known[entry.backend] = Backend(entry)
+            if recent and (not self.baseline or now < self.grace_until):
+                backend.ramp_start = started
+            elif self.baseline and now >= self.grace_until:
+                backend.ramp_start = now
+        else:
+            backend.describe(entry)
+            if started > backend.started_at:
+                backend.ramp_start = started
+            elif backend.absent_since is not None and now - backend.absent_since >= self.ramp.length:
+                backend.ramp_start = now
+        backend.started_at = max(backend.started_at, started)
+        backend.usable, backend.absent_since = True, None
+
+    def _leave(self, backend: Backend, now: float) -> None:
+        if backend.usable:
+            backend.usable, backend.absent_since = False, now
+
+
+class Seat:
+    """A backend's place in the rotation."""
+
+    __slots__ = ("backend", "weight", "turn", "ramping")
+
+    def __init__(self, backend: Backend, weight: int, turn: float, ramping: bool) -> None:
+        self.backend, self.weight, self.turn, self.ramping = backend, weight, turn, ramping
+
+
+class Rotation:
+    """Weighted round robin: seats come up in the order of their next turn, one turn every 1/weight rounds."""
+
+    # How many seats after the first may be asked to take over: enough to find a free one in a small fleet.
+    YIELDS = 6
+
+    def __init__(self, chance: Chance) -> None:
+        self.chance = chance
+        self.clock = 0.0  # rounds gone by
+        self.total = 1
+        self.seats: list[Seat] = []
+
+    def rebuild(self, backends: list[Backend], ratio: Callable[[Backend], float]) -> None:
+        """Rescale the weights, largest 100; mature seats start anew, ramping ones keep what is unspent.
+
+        A ramping seat that started over at each rebuild would never come to its turn under a trickle.
+        """
+        before = {seat.backend.id: seat for seat in self.seats}
+        given = [100.0 if backend.weight is None else max(backend.weight, 0.0) for backend in backends]
+        largest = max(given, default=0.0) or 1.0
+        self.seats = []
+        for backend, listed in zip(backends, given, strict=True):
+            share = ratio(backend)
+            weight = floor(100.0 * listed / largest * share + 1e-9)
+            weight = max(weight, 1) if listed > 0 else 0
+            if not weight:
+                continue
+            old = before.get(backend.id)
+            if share < 1.0 and old is not None and old.ramping:
+                wait = max(old.turn - self.clock, 0.0) * old.weight
+            else:
+                wait = self.chance.draw()
+            self.seats.append(Seat(backend, weight, self.clock + wait / weight, share < 1.0))
+        self.total = sum(seat.weight for seat in self.seats) or 1
+
+    def pick(self, allowed: Callable[[Backend], bool], wait: Callable[[Backend], float]) -> Backend | None:
+        """The next seat in turn, or one of those after it where less is in flight; spends the turn taken.
+
+        A ramping seat takes a push only when its own turn has come, whoever yields to it. If nobody else is
+        allowed, the ramping seat that comes up first is taken.
+        """
+        self.clock += 1.0 / self.total
+        choice: Seat | None = None
+        spare: Seat | None = None
+        best, asked = 0.0, 0
+        for seat in sorted(self.seats, key=lambda seat: seat.turn):
+            if not allowed(seat.backend):
+                continue
+            if seat.ramping and seat.turn > self.clock:
+                spare = spare or seat
+                continue
+            expected = wait(seat.backend)
+            if choice is None or expected < best:
+                choice, best = seat, expected
+            asked += 1
+            if asked > self.YIELDS:
+                break
+        choice = choice or spare
+        if choice is None:
+            return None
+        # A seat that yielded keeps its turn, but never more than one: no burst when it is free again.
+        choice.turn = max(choice.turn, self.clock - 1.0 / choice.weight) + 1.0 / choice.weight
+        return choice.backend
+
+
+class Push:
+    """One push of an invocation."""
+
+    __slots__ = ("backend", "sent", "cost", "ahead", "outcome")
+
+    def __init__(self, backend: Backend, sent: float, cost: float, ahead: float) -> None:
+        self.backend, self.sent, self.cost, self.ahead = backend, sent, cost, ahead
+        self.outcome: Outcome | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.outcome is None or not self.outcome.never_ran
+
+
+class View:
+    """What this node has seen of one backend."""
+
+    __slots__ = (
+        "open",
+        "work",
+        "answered",
+        "took",
+        "expected",
+        "fine",
+        "erred",
+        "signs",
+        "full_until",
+        "fulls",
+        "cause",
+        "since",
+        "until",
+        "strikes",
+        "trial",
+        "cold",
+    )
+
+    def __init__(self) -> None:
+        self.open: dict[tuple[str, int], Push] = {}
+        self.work = 0.0  # expected cost of what is in flight
+        self.answered = 0.0  # when it last gave any sign of life
+        self.took, self.expected = Fading(Health.MEMORY), Fading(Health.MEMORY)
+        self.fine, self.erred = Fading(Health.MEMORY), Fading(Health.MEMORY)
+        self.signs = 0  # of a dead process, since the last completed push
+        self.fulls, self.full_until = 0, 0.0
+        self.cause = ""  # why it is ejected; empty if it is not
+        self.since = self.until = 0.0
+        self.strikes = 0
+        self.trial = False
+        self.cold: deque[tuple[float, float]] = deque()  # pushes while ramping: when, and expected cost
+
+
+class Health:
+    """Tells a backend's troubles apart by what comes back from it and what does not.
+
+    dead: connections break or are not made. hung: nothing comes back although several pushes wait. erring: it
+    answers, with errors. These three are ejected. slow, paused and robbed of its machine: answers come, late;
+    full: it turns work away. These only come out longer in `wait`, so that others are picked.
+    """
+
+    MEMORY = 4.0  # seconds: dozens of answers at ten a second, and a trouble is forgotten within ten
+    SILENCE = 0.35  # seconds; longer than a collector's pause, shorter than any client waits
+    TOO_MANY_ERRORS = 0.25  # well above what sound backends err, below what hurts more than a lost backend
+    FIRST_SENTENCE = 1.0  # seconds until the first trial; doubles up to the last
+    LAST_SENTENCE = 4.0
+
+    def __init__(self, chance: Chance, log: Callable[[str], None]) -> None:
+        self.chance, self.log = chance, log
+        self.views: dict[str, View] = {}
+        self.units: dict[str, tuple[Fading, Fading]] = {}
+        self.ejected = 0
+
+    def view(self, backend: Backend) -> View:
+        view = self.views.get(backend.id)
+        if view is None:
+            view = self.views[backend.id] = View()
+        return view
+
+    def cost(self, offering: Offering, hint: float, now: float) -> float:
+        """Seconds that an invocation keeps a typical backend busy, learned from pushes that found it idle."""
+        sums = self.units.get(offering.name)
+        if sums is None:
+            sums = self.units[offering.name] = (Fading(30.0), Fading(30.0))
+        # Until something is learned: an answer in a fifth of the target time, or as long as the hint says.
+        guess = 1.0 if hint else offering.target_time / 5.0
+        return (sums[0].read(now) + guess) / (sums[1].read(now) + 1.0) * (hint or 1.0)
+
+    def wait(self, backend: Backend, cost: float, now: float) -> float:
+        """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
+        view = self.view(backend)
+        slowness = (view.took.read(now) + 2.0 * cost) / (view.expected.read(now) + 2.0 * cost)
+        wait = slowness * (view.work + cost)
+        if view.open:
+            oldest = next(iter(view.open.values())).sent
+            wait = max(wait, now - max(view.answered, oldest))
+        errors = view.erred.read(now)
+        if errors > 0.01:
+            # An erring backend answers fast and would draw the traffic; an error costs a further push.
+            wait += 0.5 * errors / (errors + view.fine.read(now) + 1.0)
+        return wait
+
+    def pickable(self, backend: Backend, now: float) -> bool:
+        view = self.views.get(backend.id)
+        return view is None or (not view.cause and now >= view.full_until)
+
+    def sent(self, key: tuple[str, int], push: Push) -> None:
+        view = self.view(push.backend)
+        view.open[key] = push
+        view.work += push.cost
+
+    def ended(self, key: tuple[str, int], push: Push, offering: Offering, hint: float, now: float) -> str:
+        """Take in an outcome; returns the cause that the backend was out for if this brings it back."""
+        view = self.view(push.backend)
+        if view.open.pop(key, None) is not None:
+            view.work = view.work - push.cost if view.open else 0.0
+        took, outcome = now - push.sent, push.outcome
+        trial, view.trial = view.trial, False
+        if outcome is Outcome.COMPLETED:
+            view.answered, view.signs, view.fulls = now, 0, 0
+            view.fine.add(1.0, now)
+            expected = push.ahead + push.cost
+            view.took.add(took, now)
+            view.expected.add(expected, now)
+            if push.ahead == 0.0:
+                busy, count = self.units[offering.name]
+                busy.add(took / (hint or 1.0), now)
+                count.add(1.0, now)
+            if view.cause == "hung" or (view.cause and push.sent >= view.until):
+                return self._readmit(push.backend, view)
+        elif outcome is Outcome.ERRED:
+            view.answered = now
+            view.erred.add(1.0, now)
+            errors = view.erred.read(now)
+            if (trial and view.cause) or (
+                errors >= 2.5 and errors > self.TOO_MANY_ERRORS * (errors + view.fine.read(now))
+            ):
+                self._eject(push.backend, view, "erring", now)
+        elif outcome is Outcome.FULL:
+            view.answered = now
+            view.fulls += 1
+            view.full_until = now + min(0.05 * 2.0 ** min(view.fulls, 5), 1.0) * (0.5 + self.chance.draw())
+        elif outcome in (Outcome.BROKEN_OFF, Outcome.UNREACHABLE):
+            view.signs += 2 if outcome is Outcome.BROKEN_OFF else 1
+            if view.signs >= 2 or view.cause:
+                self._eject(push.backend, view, "dead", now)
+        elif outcome is Outcome.TIMED_OUT or outcome is Outcome.CANCELLED:
+            # What was given up on says at least this much about how long the backend takes.
+            view.took.add(took, now)
+            view.expected.add(min(push.ahead + push.cost, took), now)
+            if trial and view.cause:
+                self._eject(push.backend, view, view.cause, now)
+        return ""
+
+    def look(self, backends: list[Backend], now: float) -> None:
+        """Eject what has gone silent with several pushes, or one very old one, unanswered."""
+        for backend in backends:
+            view = self.views.get(backend.id)
+            if view is None or not view.open or view.cause:
+                continue
+            silent = now - max(view.answered, next(iter(view.open.values())).sent)
+            if silent > self.SILENCE * (1.0 if len(view.open) > 1 else 3.0):
+                self._eject(backend, view, "hung", now)
+
+    def probed(self, backend: Backend, outcome: Outcome, now: float) -> str:
+        view = self.view(backend)
+        view.trial = False
+        if not view.cause:
+            return ""
+        if outcome is Outcome.COMPLETED:
+            return self._readmit(backend, view)
+        self._eject(backend, view, view.cause, now)
+        return ""
+
+    def trial_due(self, backend: Backend, now: float) -> bool:
+        view = self.views.get(backend.id)
+        return view is not None and view.cause != "" and now >= view.until and not view.trial
+
+    def crowded_out(self, usable: int) -> bool:
+        """Whether so many are ejected that there must be another reason; then all are used again."""
+        return self.ejected * 2 > usable
+
+    def _eject(self, backend: Backend, view: View, cause: str, now: float) -> None:
+        if not view.cause:
+            view.since, view.strikes = now, 0
+            self.ejected += 1
+            self.log(f"ejected {backend.id}: {cause}")
+        elif now < view.until:
+            return
+        # A process that broke its connections has restarted, whatever else it is out for.
+        view.cause = "dead" if "dead" in (cause, view.cause) else cause
+        sentence = min(self.FIRST_SENTENCE * 2.0**view.strikes, self.LAST_SENTENCE)
+        view.strikes += 1
+        view.until = now + sentence * (0.75 + 0.5 * self.chance.draw())
+
+    def _readmit(self, backend: Backend, view: View) -> str:
+        cause, view.cause = view.cause, ""
+        self.ejected -= 1
+        view.signs = 0
+        view.took.sum = view.expected.sum = view.erred.sum = 0.0
+        self.log(f"readmitted {backend.id}: was {cause}")
+        return cause
+
+
+class Admission:
+    """Which invocations to turn away when answers would come too late, the least utility first."""
+
+    # An answer expected later than this part of the target time is refused to the least utility …
+    LOW = 0.5
+    # … and than this one to the most: beyond it an answer is likely to be late whatever it is for.
+    HIGH = 1.1
+
+    def __init__(
+        self, tenants: list[Tenant], over_share: float, nodes: int, top: float, by_work: bool
+    ) -> None:
+        self.rates = {tenant.name: tenant.allowance / nodes for tenant in tenants}
+        self.over_share, self.top, self.by_work = over_share, top, by_work
+        self.seen = {tenant.name: Fading(2.0) for tenant in tenants}
+        self.best = 0.0  # the most utility for a second of work seen lately
+
+    def rank(self, live: Live, now: float) -> float:
+        """How much an invocation is worth for the work it makes, as a share of the most there is."""
+        offering, worth = live.offering, live.offering.utility
+        seen = self.seen.get(live.inv.tenant)
+        if seen is not None and seen.read(now) > 2.0 * self.rates[live.inv.tenant]:
+            worth *= self.over_share
+        if live.inv.again:
+            worth *= offering.late_share  # the first try's target time has most likely passed
+        if self.by_work:
+            return worth / self.top
+        worth /= max(live.cost, 1e-6)
+        self.best = max(self.best * 0.999, worth)
+        return worth / self.best if self.best else 0.0
+
+    def came(self, live: Live, now: float) -> None:
+        seen = self.seen.get(live.inv.tenant)
+        if seen is not None:
+            seen.add(1.0, now)
+
+    def refuses(self, live: Live, wait: float, now: float) -> bool:
+        limit = self.LOW + (self.HIGH - self.LOW) * self.rank(live, now)
+        # Its own cost is no sign of crowding: a heavy invocation is not to be turned away for being heavy.
+        return wait - live.cost > limit * live.offering.target_time
+
+
+class Retries:
+    """How often an invocation may be pushed again, within a budget that an overload cannot widen."""
+
+    RATIO = 0.2  # further pushes for each invocation; the field's usual figure
+    BURST = 10.0  # what may be saved up: a dead backend's share of a second or so
+
+    def __init__(self, max_pushes: int, top: float) -> None:
+        self.max_pushes, self.top = max_pushes, top
+        self.budget = self.BURST
+
+    def came(self) -> None:
+        self.budget = min(self.budget + self.RATIO, self.BURST)
+
+    def allows(self, live: Live) -> bool:
+        """The least utility gets one further push, the most all that the site permits."""
+        most = 2 + round((self.max_pushes - 2) * live.offering.utility / self.top)
+        return len(live.pushes) < most and self.budget >= 1.0
+
+    def spend(self) -> None:
+        self.budget -= 1.0
+
+
+class Live:
+    """An invocation in this node's hands."""
+
+    __slots__ = (
+        "inv",
+        "offering",
+        "arrived",
+        "cut_off",
+        "cost",
+        "pushes",
+        "open",
+        "answered",
+        "moving",
+        "look_at",
+    )
+
+    def __init__(self, inv: Invocation, offering: Offering, cost: float, now: float) -> None:
+        self.inv, self.offering, self.cost, self.arrived = inv, offering, cost, now
+        self.cut_off = now + inv.time_left
+        self.pushes: list[Push] = []
+        self.open = 0
+        self.answered = False
+        self.moving = False  # cancelled in order to be pushed elsewhere
+        self.look_at = now
+
+
+class Node:
+    """One balancer node: a method for each thing that can happen."""
+
+    INTERVAL = 1.0  # seconds between rebuilds of the rotation, as in the design's source
+    SWEEP = 0.025  # seconds between looks at what is unanswered: a tenth of the shortest usual target time
+    LAST_MOMENT = 0.005  # seconds; nothing can be answered in less
+
+    def __init__(
+        self,
+        host: Host,
+        *,
+        seed: int,
+        now: float,
+        zone: str,
+        nodes: int,
+        offerings: list[Offering],
+        tenants: list[Tenant],
+        over_share_worth: float,
+        utility_by_work: bool,
+        limits: Limits,
+        cold: ColdRule,
+        must_ask_in: float,
+        warm_keys: bool,
+    ) -> None:
+        self.host, self.zone, self.nodes = host, zone, nodes
+        self.limits, self.cold, self.must_ask_in = limits, cold, must_ask_in
+        self.offerings = {offering.name: offering for offering in offerings}
+        top = max(offering.utility for offering in offerings) or 1.0
+        self.chance = Chance(seed)
+        self.ramp = Ramp(cold.warm_up, cold.share)
+        self.roster = Roster(self.ramp, now)
+        self.rotation = Rotation(self.chance)
+        self.health = Health(self.chance, host.log)
+        self.admission = Admission(tenants, over_share_worth, nodes, top, utility_by_work)
+        self.retries = Retries(limits.max_pushes, top)
+        self.live: dict[str, Live] = {}
+        self.watch_wait = 0.0
+        host.set_timer(self.INTERVAL * self.chance.draw(), "interval")
+        host.set_timer(self.SWEEP, "sweep")
+        if must_ask_in:
+            host.watch_list()
+
+    # What can happen.
+
+    def on_list(self, now: float, kind: ListKind, entries: list[Entry]) -> None:
+        if kind is ListKind.UNAVAILABLE:
+            # Spread out, or all nodes call a struggling list service in step; always well before MustAskIn.
+            self.watch_wait = min(max(2.0 * self.watch_wait, 0.25), 2.0, self.must_ask_in / 4.0 or 2.0)
+            self.host.set_timer(self.watch_wait * (0.5 + self.chance.draw()), "watch")
+            return
+        if kind is not ListKind.RESTORED:
+            self.watch_wait = 0.0
+        self.roster.on_list(kind, entries, now)
+        self._rebuild(now)
+
+    def on_invocation(self, now: float, inv: Invocation) -> None:
+        offering = self.offerings[inv.offering]
+        live = Live(inv, offering, self.health.cost(offering, inv.hint, now), now)
+        self.live[inv.id] = live
+        self.retries.came()
+        self.admission.came(live, now)
+        backend = self._trial(live, now) or self._pick(live, now)
+        if backend is None or self.admission.refuses(live, self.health.wait(backend, live.cost, now), now):
+            self._give_up(live, now)
+        else:
+            self._push(live, backend, now)
+
+    def on_push_ended(
+        self,
+        now: float,
+        id: str,
+        number: int,
+        outcome: Outcome,
+        took: float,
+        last: bool,
+        report: dict[str, float],
+    ) -> None:
+        live = self.live.get(id)
+        if live is None or number >= len(live.pushes) or live.pushes[number].outcome is not None:
+            return
+        push = live.pushes[number]
+        push.outcome = outcome
+        live.open -= 1
+        since = self.health.view(push.backend).since
+        cause = self.health.ended((id, number), push, live.offering, live.inv.hint, now)
+        if cause:
+            self._readmitted(push.backend, since, cause, now)
+        if last and not live.answered:
+            live.answered = True
+            self._cancel_rest(live)
+        if not live.answered and not live.open:
+            self._push_again(live, now)
+        self._forget(live)
+
+    def on_answer_started(self, now: float, id: str, number: int) -> None:
+        """From here on the push is the client's: it is neither looked at nor moved."""
+        live = self.live.get(id)
+        if live is not None:
+            live.look_at = float("inf")
+
+    def on_client_gone(self, now: float, id: str) -> None:
+        live = self.live.get(id)
+        if live is not None:
+            live.answered = True
+            self._cancel_rest(live)
+            self._forget(live)
+
+    def on_probe_ended(self, now: float, backend_id: str, outcome: Outcome) -> None:
+        backend = self.roster.known.get(backend_id)
+        if backend is not None:
+            since = self.health.view(backend).since
+            cause = self.health.probed(backend, outcome, now)
+            if cause:
+                self._readmitted(backend, since, cause, now)
+
+    def on_timer(self, now: float, name: str) -> None:
+        if name == "sweep":
+            self.host.set_timer(self.SWEEP, "sweep")
+            self._sweep(now)
+        elif name == "interval":
+            self.host.set_timer(self.INTERVAL, "interval")
+            self._rebuild(now)
+        elif name == "watch":
+            self.host.watch_list()
+
+    # The two gates.
+
+    def may_push(self, live: Live, backend: Backend, now: float) -> bool:
+        """Whether the rules let this invocation go to this backend now."""
+        if live.answered or now >= live.cut_off - self.LAST_MOMENT or not backend.usable:
+            return False
+        if len(live.pushes) >= self.limits.max_pushes or (live.open and not self.limits.second_copies):
+            return False
+        if live.offering.kind is not Kind.REPEATABLE:
+            first = next((push for push in live.pushes if push.may_have_run), None)
+            if first is not None:
+                if live.offering.kind is Kind.ONCE_ONLY:
+                    return False
+                group = live.offering.group
+                if backend.group(group) != first.backend.group(group):
+                    return False
+                if now >= first.sent + live.offering.window - self.LAST_MOMENT:
+                    return False
+        return backend.ramp_start is None or self._cold_budget_left(backend, live.cost, now)
+
+    def may_nack(self, live: Live) -> bool:
+        """Whether a nack, which tells the client that a repeat is harmless, would be true."""
+        if live.answered:
+            return False
+        if live.offering.kind is Kind.REPEATABLE:
+            return True
+        if not any(push.may_have_run for push in live.pushes):
+            return True
+        return live.offering.kind is Kind.TAGGED and live.offering.group == "all"
+
+    def _cold_budget_left(self, backend: Backend, cost: float, now: float) -> bool:
+        """This node's part of what a cold backend bears over any window of the rule's length."""
+        ratio = self.ramp.ratio(backend, now)
+        if ratio >= 1.0:
+            return True
+        sent = self.health.view(backend).cold
+        while sent and sent[0][0] <= now - self.cold.span:
+            sent.popleft()
+        largest = max((seat.backend.weight or 1.0 for seat in self.rotation.seats), default=1.0) or 1.0
+        size = min(1.0, (backend.weight or largest) / largest) if backend.weight is not None else 1.0
+        # Costs scatter and come from typical backends, so only half of the budget is used.
+        budget = 0.5 * self.cold.multiple * ratio * size * self.cold.span / self.nodes
+        return not sent or sum(spent for _, spent in sent) + cost <= budget
+
+    # What a node does.
+
+    def _push(self, live: Live, backend: Backend, now: float) -> None:
+        if not self.may_push(live, backend, now):
+            self._give_up(live, now)
+            return
+        view = self.health.view(backend)
+        push = Push(backend, now, live.cost, view.work)
+        number = len(live.pushes)
+        live.pushes.append(push)
+        live.open += 1
+        live.moving = False
+        # Twice what it should take and a tenth of a second: by then most answers are in.
+        live.look_at = now + 2.0 * self.health.wait(backend, live.cost, now) + 0.1
+        self.health.sent((live.inv.id, number), push)
+        if backend.ramp_start is not None:
+            view.cold.append((now, live.cost))
+        if view.cause:
+            view.trial = True
+        self.host.push(live.inv.id, backend.id, live.cut_off - now)
+
+    def _pick(self, live: Live, now: float) -> Backend | None:
+        tried = {push.backend.id for push in live.pushes}
+        crowded = self.health.crowded_out(len(self.rotation.seats))
+
+        def allowed(backend: Backend) -> bool:
+            if backend.id in tried or not (crowded or self.health.pickable(backend, now)):
+                return False
+            return self.may_push(live, backend, now)
+
+        return self.rotation.pick(allowed, lambda backend: self.health.wait(backend, live.cost, now))
+
+    def _trial(self, live: Live, now: float) -> Backend | None:
+        """An ejected backend whose time is up gets one repeatable invocation, or first a probe."""
+        if not self.health.ejected or live.offering.kind is not Kind.REPEATABLE:
+            return None
+        for seat in self.rotation.seats:
+            if self.health.trial_due(seat.backend, now) and self.may_push(live, seat.backend, now):
+                return seat.backend
+        return None
+
+    def _push_again(self, live: Live, now: float) -> None:
+        """Nothing is out any more and there is no answer: push on if that is allowed, or give up at once."""
+        if self.retries.allows(live):
+            backend = self._pick(live, now)
+            if backend is not None:
+                self.retries.spend()
+                self._push(live, backend, now)
+                return
+        self._give_up(live, now)
+
+    def _give_up(self, live: Live, now: float) -> None:
+        if live.open or live.answered:
+            return
+        if self.may_nack(live):
+            self.host.nack(live.inv.id, self.limits.come_back * (0.5 + 0.5 * self.chance.draw()))
+        else:
+            self.host.terminate(live.inv.id)
+        live.answered = True
+        self._forget(live)
+
+    def _cancel_rest(self, live: Live) -> None:
+        if live.open and self.limits.cancelling:
+            for number, push in enumerate(live.pushes):
+                if push.outcome is None:
+                    self.host.cancel(live.inv.id, number)
+
+    def _forget(self, live: Live) -> None:
+        if live.answered and not live.open:
+            self.live.pop(live.inv.id, None)
+
+    def _sweep(self, now: float) -> None:
+        self.health.look([seat.backend for seat in self.rotation.seats], now)
+        for live in list(self.live.values()):
+            if now >= live.look_at and live.open == 1 and not live.answered and not live.moving:
+                self._look_again(live, now)
+        if self.limits.probes and self.health.ejected:
+            for seat in self.rotation.seats:
+                view = self.health.view(seat.backend)
+                if view.cause in ("dead", "hung") and self.health.trial_due(seat.backend, now):
+                    view.trial = True
+                    self.host.probe(seat.backend.id)
+
+    def _look_again(self, live: Live, now: float) -> None:
+        """A push that takes long on a backend gone silent: a second copy, or the same push elsewhere."""
+        push = next(push for push in live.pushes if push.outcome is None)
+        view = self.health.view(push.backend)
+        if view.answered > push.sent and not view.cause:
+            return
+        if not self.retries.allows(live):
+            return
+        if self.limits.second_copies and live.offering.kind is not Kind.ONCE_ONLY:
+            backend = self._pick(live, now)
+            if backend is not None:
+                self.retries.spend()
+                self._push(live, backend, now)
+        elif self.limits.cancelling and live.offering.kind is Kind.REPEATABLE:
+            live.moving = True
+            self.host.cancel(live.inv.id, live.pushes.index(push))
+
+    def _readmitted(self, backend: Backend, since: float, cause: str, now: float) -> None:
+        self.roster.back(backend, since, cause == "dead", now)
+        self._rebuild(now)
+
+    def _rebuild(self, now: float) -> None:
+        backends = self.roster.usable()
+        for backend in backends:
+            if backend.ramp_start is not None and now - backend.ramp_start >= self.ramp.length:
+                backend.ramp_start = None
+        self.rotation.rebuild(backends, lambda backend: self.ramp.ratio(backend, now))
