--- /dev/null
+++ b/tests/test_mechanism.py
@@ -0,0 +1,101 @@
+"""The design's mechanism: weights at chosen times, and shares of turns."""
+
+from __future__ import annotations
+
+import pytest
+from harness import Bench, entry
+
+from thornladder import decide
+from thornladder.interface import ListKind, Outcome, State
+
+
+def weights(bench: Bench) -> dict[str, int]:
+    return {seat.backend.id: seat.weight for seat in bench.node.rotation.seats}
+
+
+def ramped(bench: Bench, number: int) -> bool:
+    return bench.node.roster.known[f"b{number:02}"].ramp_start is not None
+
+
+def test_weights_follow_the_curve_and_are_scaled() -> None:
+    bench = Bench()
+    bench.list([entry(1, weight=2.0), entry(2, weight=1.0), entry(3, weight=0.0)], ListKind.RESTORED)
+    assert weights(bench) == {"b01": 100, "b02": 50}
+    bench.advance(6.0)
+    bench.list([entry(4, weight=2.0)], ListKind.CHANGES)
+    start, length = bench.now, bench.node.ramp.length
+    for part in (0.0, 0.3, 0.5, 0.8, 1.0):
+        bench.advance(start + part * length - bench.now)
+        bench.node._rebuild(bench.now)
+        assert weights(bench)["b04"] == pytest.approx(100 * max(part, 0.2), abs=1)
+    bench.list([entry(1)._replace(weight=None)], ListKind.CHANGES)
+    assert weights(bench) == {"b01": 100, "b02": 1, "b04": 2}
+
+
+def test_which_backends_ramp() -> None:
+    bench = Bench()
+    young, old = entry(2, started=bench.now - 2), entry(3, started=bench.now - 90)
+    bench.list([entry(1), young, old], ListKind.RESTORED)
+    assert [ramped(bench, n) for n in (1, 2, 3)] == [False, True, False]
+    bench.advance(1.0)
+    bench.list([entry(4), entry(5, started=bench.now - 1)], ListKind.CHANGES)
+    assert not ramped(bench, 4), "the grace keeps a late arrival mature"
+    assert ramped(bench, 5), "but never hides a recent start"
+    bench.advance(9.0)
+    bench.list([entry(6), entry(3, started=bench.now - 1)], ListKind.CHANGES)
+    assert ramped(bench, 6) and ramped(bench, 3)
+    assert bench.node.roster.known["b03"].ramp_start == bench.now - 1
+
+
+def test_absence_resumes_or_starts_over() -> None:
+    bench = Bench()
+    bench.list([entry(1), entry(2)], ListKind.RESTORED)
+    length = bench.node.ramp.length
+    bench.list([entry(2, State.DRAINING)], ListKind.CHANGES)
+    bench.advance(0.9 * length)
+    bench.list([entry(2)], ListKind.CHANGES)
+    assert not ramped(bench, 2)
+    bench.list([entry(1)])
+    bench.advance(1.1 * length)
+    bench.list([entry(1), entry(2)])
+    assert bench.node.roster.known["b02"].ramp_start == bench.now
+
+
+@pytest.mark.parametrize(("gap", "count"), [(0.01, 4000), (0.5, 400)])
+def test_turns_follow_the_curve_under_a_flood_and_a_trickle(gap: float, count: int) -> None:
+    rotation = decide.Rotation(decide.Chance(3))
+    entries = [decide.Backend(entry(n)) for n in range(5)]
+    ramping = entries[0]
+    taken, now, rebuilt = 0, 0.0, -1
+    for _ in range(count):
+        now += gap
+        if int(now) > rebuilt:
+            rebuilt = int(now)
+            rotation.rebuild(entries, lambda backend: 0.25 if backend is ramping else 1.0)
+        taken += rotation.pick(lambda backend: True, lambda backend: 1.0) is ramping
+    assert taken / count == pytest.approx(0.25 / 4.25, rel=0.15)
+
+
+def test_a_busier_choice_yields_but_not_to_a_ramping_one_out_of_turn() -> None:
+    rotation = decide.Rotation(decide.Chance(3))
+    busy, idle, ramping = (decide.Backend(entry(n)) for n in range(3))
+    rotation.rebuild([busy, idle, ramping], lambda backend: 0.1 if backend is ramping else 1.0)
+    picks = [rotation.pick(lambda b: True, lambda b: 1.0 if b is busy else 0.1) for _ in range(210)]
+    assert picks.count(busy) < 10
+    assert picks.count(ramping) <= 11
+
+
+def test_a_process_that_broke_its_connections_comes_back_ramped() -> None:
+    """Guards against a restart that the list has not told of: cold, at full weight."""
+    bench = Bench(probes=False)
+    bench.list([entry(n) for n in range(5)], ListKind.RESTORED)
+    bench.advance(6.0)
+    account = bench.come("a")
+    backend = account.pushes[0][0]
+    bench.end("a", 0, Outcome.BROKEN_OFF)
+    for step in range(400):
+        bench.come(f"i{step}")
+        bench.complete_all(0.02)
+    known = bench.node.roster.known[backend]
+    assert known.ramp_start is not None and known.ramp_start > 106.0
+    assert any(line == f"readmitted {backend}: was dead" for line in bench.lines)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,87 @@
+"""Seeded random runs: the harness checks the rules at every call the node makes."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from harness import COLD, OFFERINGS, Bench, entry
+
+from thornladder.interface import ListKind, Outcome, State
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rules_hold_in_random_runs(seed: int) -> None:
+    rng = random.Random(seed)
+    bench = Bench(seed, copies=rng.random() < 0.5, probes=rng.random() < 0.5)
+    bench.list([entry(n) for n in range(rng.randint(0, 9))], ListKind.RESTORED)
+    for step in range(600):
+        chance = rng.random()
+        if chance < 0.45:
+            left, hint = rng.choice([None, 0.002, 0.1]), rng.choice([0.0, 0.03])
+            bench.come(f"i{step}", rng.choice(OFFERINGS).name, left, hint)
+        elif chance < 0.8 and bench.open():
+            bench.end(*rng.choice(bench.open()), rng.choice(list(Outcome)))
+        elif chance < 0.83 and bench.accounts:
+            bench.leave(rng.choice(list(bench.accounts)))
+        elif chance < 0.88:
+            state = rng.choice(list(State))
+            number = rng.randrange(12)
+            if state is State.RUNNING or f"b{number:02}" in bench.places:
+                bench.list([entry(number, state, rng.choice([None, bench.now - 3]))], ListKind.CHANGES)
+        elif chance < 0.89:
+            bench.list([entry(n) for n in range(rng.randint(0, 9))])
+        elif chance < 0.9:
+            bench.node.on_list(bench.now, ListKind.UNAVAILABLE, [])
+        elif chance < 0.93 and bench.probes:
+            bench.node.on_probe_ended(bench.now, bench.probes.pop(), rng.choice(list(Outcome)))
+        bench.advance(rng.choice([0.0, 0.001, 0.02, 0.1, 0.5]))
+        for id, account in bench.accounts.items():
+            if not account.final:
+                assert id in bench.node.live and len(account.ended) < len(account.pushes), "left lying"
+    for id, number in bench.open():
+        bench.end(id, number, Outcome.TIMED_OUT)
+    while bench.open():
+        bench.end(*bench.open()[0], Outcome.CANCELLED)
+    assert all(account.final for account in bench.accounts.values())
+    assert not bench.node.live
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_burst_stays_within_the_cold_budget(seed: int) -> None:
+    bench = Bench(seed)
+    bench.list([entry(n) for n in range(4)], ListKind.RESTORED)
+    bench.advance(6.0)
+    bench.list([entry(9)], ListKind.CHANGES)
+    rng = random.Random(seed)
+    start, sent = bench.now, []
+    for step in range(1500):
+        hint = rng.uniform(0.01, 0.06)
+        account = bench.come(f"i{step}", "look", hint=hint)
+        sent += [(bench.now, hint) for backend, _ in account.pushes[:1] if backend == "b09"]
+        # A typical backend has at least one core; the node keeps to its half of what two nodes may send.
+        window = [cost for when, cost in sent if when > bench.now - COLD.span]
+        capacity = max(COLD.share, (bench.now - start) / COLD.warm_up)
+        assert len(window) <= 1 or sum(window) <= COLD.multiple * capacity * COLD.span / 2
+        bench.advance(rng.choice([0.0, 0.0, 0.004]))
+        if step % 5 == 0:
+            bench.complete_all(0.035)
+
+
+def test_once_only_is_terminated_when_it_may_have_run() -> None:
+    bench = Bench()
+    bench.list([entry(n) for n in range(4)])
+    account = bench.come("a", "pay")
+    bench.end("a", 0, Outcome.ERRED)
+    assert account.final == "terminated" and len(account.pushes) == 1
+    account = bench.come("b", "pay")
+    bench.end("b", 0, Outcome.FULL)
+    assert len(account.pushes) == 2 and not account.final
+
+
+def test_nothing_to_push_to_is_answered_at_once() -> None:
+    bench = Bench()
+    bench.list([])
+    assert bench.come("a", "pay").final == "nacked"
+    bench.list([entry(1)])
+    assert not bench.come("b", "pay").final
