--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -303,6 +303,7 @@
         self.views: dict[str, View] = {}
         self.units: dict[str, tuple[Fading, Fading]] = {}
         self.ejected = 0
+        self.slowest = self.slowest_at = 0.0
 
     def view(self, backend: Backend) -> View:
         view = self.views.get(backend.id)
@@ -333,6 +334,10 @@
             wait += 0.5 * errors / (errors + view.fine.read(now) + 1.0)
         return wait
 
+    def longest(self, now: float) -> float:
+        """The longest that any answer took lately: one heavy invocation keeps a backend silent that long."""
+        return self.slowest * exp((self.slowest_at - now) / 10.0)
+
     def pickable(self, backend: Backend, now: float) -> bool:
         view = self.views.get(backend.id)
         return view is None or (not view.cause and now >= view.full_until)
@@ -352,6 +357,8 @@
         if outcome is Outcome.COMPLETED:
             view.answered, view.signs, view.fulls = now, 0, 0
             view.fine.add(1.0, now)
+            if took > self.longest(now):
+                self.slowest, self.slowest_at = took, now
             expected = push.ahead + push.cost
             view.took.add(took, now)
             view.expected.add(expected, now)
@@ -392,7 +399,8 @@
             if view is None or not view.open or view.cause:
                 continue
             silent = now - max(view.answered, next(iter(view.open.values())).sent)
-            if silent > self.SILENCE * (1.0 if len(view.open) > 1 else 3.0):
+            usual = max(self.SILENCE, min(1.5 * self.longest(now), 3.0 * self.SILENCE))
+            if silent > usual * (1.0 if len(view.open) > 1 else 2.0):
                 self._eject(backend, view, "hung", now)
 
     def probed(self, backend: Backend, outcome: Outcome, now: float) -> str:
