Ramp for half of the warm-up time

Change: ramp length half the warm-up time; the curve then runs at up to twice the surest capacity, within every site's multiple.

--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -86,7 +86,7 @@
     AGGRESSION = 1.0
 
     def __init__(self, warm_up: float, cold_share: float) -> None:
-        self.length = max(warm_up, 1.0)
+        self.length = max(0.5 * warm_up, 1.0)
         self.floor = cold_share
 
     def ratio(self, backend: Backend, now: float) -> float:
