--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -447,9 +447,9 @@
     """Which invocations to turn away when answers would come too late, the least utility first."""
 
     # An answer expected later than this part of the target time is refused to the least utility …
-    LOW = 0.5
+    LOW = 0.25
     # … and than this one to the most: beyond it an answer is likely to be late whatever it is for.
-    HIGH = 1.1
+    HIGH = 0.6
 
     def __init__(
         self, tenants: list[Tenant], over_share: float, nodes: int, top: float, by_work: bool
