--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -450,6 +450,10 @@
     LOW = 0.25
     # … and than this one to the most: beyond it an answer is likely to be late whatever it is for.
     HIGH = 0.6
+    RESERVED = 0.6  # the part of the room that is open to any utility; the rest opens up with utility
+    MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
+    PAUSE = 0.1  # seconds between two cuts: an answer's time, so that each cut is seen before the next
+    FIRST_ROOM = 4.0  # pushes out at each backend by all nodes, until something is learned
 
     def __init__(
         self, tenants: list[Tenant], over_share: float, nodes: int, top: float, by_work: bool
@@ -458,6 +462,8 @@
         self.over_share, self.top, self.by_work = over_share, top, by_work
         self.seen = {tenant.name: Fading(2.0) for tenant in tenants}
         self.best = 0.0  # the most utility for a second of work seen lately
+        self.room = 0.0  # how many pushes this node may have out
+        self.ends, self.lates, self.cut_at = Fading(0.5), Fading(0.5), 0.0
 
     def rank(self, live: Live, now: float) -> float:
         """How much an invocation is worth for the work it makes, as a share of the most there is."""
@@ -478,11 +484,29 @@
         if seen is not None:
             seen.add(1.0, now)
 
-    def refuses(self, live: Live, wait: float, now: float) -> bool:
-        limit = self.LOW + (self.HIGH - self.LOW) * self.rank(live, now)
+    def refuses(self, live: Live, wait: float, out: int, now: float) -> bool:
+        rank = self.rank(live, now)
+        if out >= self.room * (self.RESERVED + (1.0 - self.RESERVED) * rank):
+            return True
+        limit = self.LOW + (self.HIGH - self.LOW) * rank
         # Its own cost is no sign of crowding: a heavy invocation is not to be turned away for being heavy.
         return wait - live.cost > limit * live.offering.target_time
 
+    def ended(self, late: bool, out: int, now: float) -> None:
+        """Learn from a push's end how many pushes this node may have out: more while answers are in time.
+
+        Guards against the jam in which clients leave before their answers and the backends go on working for
+        nobody: the queue that causes it belongs to all nodes and none sees it but by answers being late.
+        """
+        self.ends.add(1.0, now)
+        self.lates.add(1.0 if late else 0.0, now)
+        share = self.lates.read(now) / (self.ends.read(now) + 1.0)
+        if share > self.MANY_LATE:
+            if now - self.cut_at > self.PAUSE:
+                self.room, self.cut_at = max(self.room * 0.85, 1.0), now
+        elif not late and out >= 0.5 * self.room:
+            self.room += 1.0 / self.room
+
 
 class Retries:
     """How often an invocation may be pushed again, within a budget that an overload cannot widen."""
@@ -569,6 +593,7 @@
         self.retries = Retries(limits.max_pushes, top)
         self.live: dict[str, Live] = {}
         self.watch_wait = 0.0
+        self.out = 0  # pushes that have not ended
         host.set_timer(self.INTERVAL * self.chance.draw(), "interval")
         host.set_timer(self.SWEEP, "sweep")
         if must_ask_in:
@@ -586,6 +611,8 @@
             self.watch_wait = 0.0
         self.roster.on_list(kind, entries, now)
         self._rebuild(now)
+        if not self.admission.room:
+            self.admission.room = self.admission.FIRST_ROOM * len(self.rotation.seats) / self.nodes
 
     def on_invocation(self, now: float, inv: Invocation) -> None:
         offering = self.offerings[inv.offering]
@@ -594,7 +621,9 @@
         self.retries.came()
         self.admission.came(live, now)
         backend = self._trial(live, now) or self._pick(live, now)
-        if backend is None or self.admission.refuses(live, self.health.wait(backend, live.cost, now), now):
+        if backend is None or self.admission.refuses(
+            live, self.health.wait(backend, live.cost, now), self.out, now
+        ):
             self._give_up(live, now)
         else:
             self._push(live, backend, now)
@@ -615,6 +644,14 @@
         push = live.pushes[number]
         push.outcome = outcome
         live.open -= 1
+        self.out -= 1
+        if (
+            outcome is not Outcome.ERRED
+            and outcome is not Outcome.UNREACHABLE
+            and outcome is not Outcome.CANCELLED
+        ):
+            late = outcome is not Outcome.COMPLETED or took - push.cost > 0.5 * live.offering.target_time
+            self.admission.ended(late, self.out, now)
         since = self.health.view(push.backend).since
         cause = self.health.ended((id, number), push, live.offering, live.inv.hint, now)
         if cause:
@@ -712,6 +749,7 @@
         number = len(live.pushes)
         live.pushes.append(push)
         live.open += 1
+        self.out += 1
         live.moving = False
         # Twice what it should take and a tenth of a second: by then most answers are in.
         live.look_at = now + 2.0 * self.health.wait(backend, live.cost, now) + 0.1
