--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -172,7 +172,7 @@
     """Weighted round robin: seats come up in the order of their next turn, one turn every 1/weight rounds."""
 
     # How many seats after the first may be asked to take over: enough to find a free one in a small fleet.
-    YIELDS = 6
+    YIELDS = 20
 
     def __init__(self, chance: Chance) -> None:
         self.chance = chance
@@ -561,6 +561,7 @@
 
     INTERVAL = 1.0  # seconds between rebuilds of the rotation, as in the design's source
     SWEEP = 0.025  # seconds between looks at what is unanswered: a tenth of the shortest usual target time
+    AFAR = 0.1  # of the target time: what another zone must be quicker by, for a crossing has its price
     LAST_MOMENT = 0.005  # seconds; nothing can be answered in less
 
     def __init__(
@@ -769,7 +770,12 @@
                 return False
             return self.may_push(live, backend, now)
 
-        return self.rotation.pick(allowed, lambda backend: self.health.wait(backend, live.cost, now))
+        afar = self.AFAR * live.offering.target_time
+
+        def wait(backend: Backend) -> float:
+            return self.health.wait(backend, live.cost, now) + (afar if backend.zone != self.zone else 0.0)
+
+        return self.rotation.pick(allowed, wait)
 
     def _trial(self, live: Live, now: float) -> Backend | None:
         """An ejected backend whose time is up gets one repeatable invocation, or first a probe."""
