--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -171,8 +171,7 @@
 class Rotation:
     """Weighted round robin: seats come up in the order of their next turn, one turn every 1/weight rounds."""
 
-    # How many seats after the first may be asked to take over: enough to find a free one in a small fleet.
-    YIELDS = 20
+    CLEARLY = 0.75  # a choice yields only to a wait this much shorter; the rotation decides among near equals
 
     def __init__(self, chance: Chance) -> None:
         self.chance = chance
@@ -212,7 +211,7 @@
         self.clock += 1.0 / self.total
         choice: Seat | None = None
         spare: Seat | None = None
-        best, asked = 0.0, 0
+        best = 0.0
         for seat in sorted(self.seats, key=lambda seat: seat.turn):
             if not allowed(seat.backend):
                 continue
@@ -220,11 +219,8 @@
                 spare = spare or seat
                 continue
             expected = wait(seat.backend)
-            if choice is None or expected < best:
+            if choice is None or expected < self.CLEARLY * best:
                 choice, best = seat, expected
-            asked += 1
-            if asked > self.YIELDS:
-                break
         choice = choice or spare
         if choice is None:
             return None
