--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -85,3 +85,18 @@
     assert bench.come("a", "pay").final == "nacked"
     bench.list([entry(1)])
     assert not bench.come("b", "pay").final
+
+
+def test_a_crowd_long_gone_does_not_keep_invocations_away() -> None:
+    bench = Bench()
+    bench.list([entry(n) for n in range(3)])
+    for step in range(300):
+        bench.come(f"a{step}")
+        bench.advance(0.01)
+        if step % 60 == 59:
+            for id, number in bench.open():
+                bench.end(id, number, Outcome.COMPLETED)
+    assert any(bench.come(f"b{step}").final == "nacked" for step in range(20))
+    bench.complete_all()
+    bench.advance(10.0)
+    assert not bench.come("c").final
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from math import exp, floor
 
-from thornladder.interface import (
+from thornladder.interface import (  # fmt: skip
     ColdRule,
     Entry,
     Host,
@@ -247,28 +247,15 @@
     """What this node has seen of one backend."""
 
     __slots__ = (
-        "open",
-        "work",
-        "answered",
-        "took",
-        "expected",
-        "fine",
-        "erred",
-        "signs",
-        "full_until",
-        "fulls",
-        "cause",
-        "since",
-        "until",
-        "strikes",
-        "trial",
-        "cold",
-    )
+        "open", "work", "answered", "learned", "took", "expected", "fine", "erred", "signs",
+        "full_until", "fulls", "cause", "since", "until", "strikes", "trial", "cold",
+    )  # fmt: skip
 
     def __init__(self) -> None:
         self.open: dict[tuple[str, int], Push] = {}
         self.work = 0.0  # expected cost of what is in flight
         self.answered = 0.0  # when it last gave any sign of life
+        self.learned = 0.0  # when a push last told how slow it is
         self.took, self.expected = Fading(Health.MEMORY), Fading(Health.MEMORY)
         self.fine, self.erred = Fading(Health.MEMORY), Fading(Health.MEMORY)
         self.signs = 0  # of a dead process, since the last completed push
@@ -320,6 +307,9 @@
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
         view = self.view(backend)
         slowness = (view.took.read(now) + 2.0 * cost) / (view.expected.read(now) + 2.0 * cost)
+        # Guards against a standstill: where nothing is pushed nothing is learned, and a crowd long gone would
+        # keep everything else away.
+        slowness = 1.0 + (slowness - 1.0) * exp((view.learned - now) / self.MEMORY)
         wait = slowness * (view.work + cost)
         if view.open:
             oldest = next(iter(view.open.values())).sent
@@ -357,6 +347,7 @@
                 self.slowest, self.slowest_at = took, now
             expected = push.ahead + push.cost
             view.took.add(took, now)
+            view.learned = now
             view.expected.add(expected, now)
             if push.ahead == 0.0:
                 busy, count = self.units[offering.name]
@@ -383,6 +374,7 @@
         elif outcome is Outcome.TIMED_OUT or outcome is Outcome.CANCELLED:
             # What was given up on says at least this much about how long the backend takes.
             view.took.add(took, now)
+            view.learned = now
             view.expected.add(min(push.ahead + push.cost, took), now)
             if trial and view.cause:
                 self._eject(push.backend, view, view.cause, now)
@@ -530,17 +522,9 @@
     """An invocation in this node's hands."""
 
     __slots__ = (
-        "inv",
-        "offering",
-        "arrived",
-        "cut_off",
-        "cost",
-        "pushes",
-        "open",
-        "answered",
-        "moving",
+        "inv", "offering", "arrived", "cut_off", "cost", "pushes", "open", "answered", "moving",
         "look_at",
-    )
+    )  # fmt: skip
 
     def __init__(self, inv: Invocation, offering: Offering, cost: float, now: float) -> None:
         self.inv, self.offering, self.cost, self.arrived = inv, offering, cost, now
