A push turned away as full no longer counts as late

Symptom: a quarter refused while p50 is 38 ms and one backend answers 'full' in 0.4 ms. Cause: its refusals shrank the room for pushes everywhere. Told from a crowd by the short answers of all others.

--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -626,11 +626,7 @@
         push.outcome = outcome
         live.open -= 1
         self.out -= 1
-        if (
-            outcome is not Outcome.ERRED
-            and outcome is not Outcome.UNREACHABLE
-            and outcome is not Outcome.CANCELLED
-        ):
+        if outcome is Outcome.COMPLETED or outcome is Outcome.TIMED_OUT:
             late = outcome is not Outcome.COMPLETED or took - push.cost > 0.5 * live.offering.target_time
             self.admission.ended(late, self.out, now)
         since = self.health.view(push.backend).since
