--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -341,7 +341,7 @@
         took, outcome = now - push.sent, push.outcome
         trial, view.trial = view.trial, False
         if outcome is Outcome.COMPLETED:
-            view.answered, view.signs, view.fulls = now, 0, 0
+            view.answered, view.signs, view.fulls = now, 0, max(view.fulls - 1, 0)
             view.fine.add(1.0, now)
             if took > self.longest(now):
                 self.slowest, self.slowest_at = took, now
