--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -100,3 +100,19 @@
     bench.complete_all()
     bench.advance(10.0)
     assert not bench.come("c").final
+
+
+def test_a_trial_that_is_turned_away_is_not_repeated_at_once() -> None:
+    bench = Bench(probes=False)
+    bench.list([entry(n) for n in range(4)])
+    bench.come("a")
+    broken = bench.accounts["a"].pushes[0][0]
+    bench.end("a", 0, Outcome.BROKEN_OFF)
+    for step in range(100):
+        account = bench.come(f"i{step}")
+        bench.advance(0.03)
+        for number, (backend, _) in enumerate(account.pushes):
+            if number not in account.ended:
+                bench.end(f"i{step}", number, Outcome.FULL if backend == broken else Outcome.COMPLETED)
+    pushes = [backend for account in bench.accounts.values() for backend, _ in account.pushes]
+    assert 2 <= pushes.count(broken) <= 5
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -339,7 +339,12 @@
         if view.open.pop(key, None) is not None:
             view.work = view.work - push.cost if view.open else 0.0
         took, outcome = now - push.sent, push.outcome
-        trial, view.trial = view.trial, False
+        trial = view.cause != "" and push.sent >= view.until
+        if trial:
+            view.trial = False
+            if outcome not in (Outcome.COMPLETED, Outcome.NOT_SENT):
+                # Guards against one trial after the other: whatever went wrong, the sentence starts anew.
+                self._eject(push.backend, view, view.cause, now)
         if outcome is Outcome.COMPLETED:
             view.answered, view.signs, view.fulls = now, 0, max(view.fulls - 1, 0)
             view.fine.add(1.0, now)
@@ -353,15 +358,13 @@
                 busy, count = self.units[offering.name]
                 busy.add(took / (hint or 1.0), now)
                 count.add(1.0, now)
-            if view.cause == "hung" or (view.cause and push.sent >= view.until):
+            if view.cause == "hung" or trial:
                 return self._readmit(push.backend, view)
         elif outcome is Outcome.ERRED:
             view.answered = now
             view.erred.add(1.0, now)
             errors = view.erred.read(now)
-            if (trial and view.cause) or (
-                errors >= 2.5 and errors > self.TOO_MANY_ERRORS * (errors + view.fine.read(now))
-            ):
+            if errors >= 2.5 and errors > self.TOO_MANY_ERRORS * (errors + view.fine.read(now)):
                 self._eject(push.backend, view, "erring", now)
         elif outcome is Outcome.FULL:
             view.answered = now
@@ -376,8 +379,6 @@
             view.took.add(took, now)
             view.learned = now
             view.expected.add(min(push.ahead + push.cost, took), now)
-            if trial and view.cause:
-                self._eject(push.backend, view, view.cause, now)
         return ""
 
     def look(self, backends: list[Backend], now: float) -> None:
