Learn costs net of a backend's slowness

Cause: in a jam, pushes that found nothing of this node's in flight still took long, and were learned as costly offerings for half a minute; one push each then looked like a queue.

--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -303,13 +303,17 @@
         guess = 1.0 if hint else offering.target_time / 5.0
         return (sums[0].read(now) + guess) / (sums[1].read(now) + 1.0) * (hint or 1.0)
 
-    def wait(self, backend: Backend, cost: float, now: float) -> float:
-        """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
-        view = self.view(backend)
+    def slowness(self, view: View, cost: float, now: float) -> float:
+        """How many times longer than expected this backend's answers have lately taken."""
         slowness = (view.took.read(now) + 2.0 * cost) / (view.expected.read(now) + 2.0 * cost)
         # Guards against a standstill: where nothing is pushed nothing is learned, and a crowd long gone would
         # keep everything else away.
-        slowness = 1.0 + (slowness - 1.0) * exp((view.learned - now) / self.MEMORY)
+        return 1.0 + (slowness - 1.0) * exp((view.learned - now) / self.MEMORY)
+
+    def wait(self, backend: Backend, cost: float, now: float) -> float:
+        """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
+        view = self.view(backend)
+        slowness = self.slowness(view, cost, now)
         wait = slowness * (view.work + cost)
         if view.open:
             oldest = next(iter(view.open.values())).sent
@@ -351,12 +355,14 @@
             if took > self.longest(now):
                 self.slowest, self.slowest_at = took, now
             expected = push.ahead + push.cost
+            slowness = max(1.0, self.slowness(view, push.cost, now))
             view.took.add(took, now)
             view.learned = now
             view.expected.add(expected, now)
             if push.ahead == 0.0:
                 busy, count = self.units[offering.name]
-                busy.add(took / (hint or 1.0), now)
+                # Guards against a crowd passing for costly work: other nodes' pushes wait there unseen.
+                busy.add(took / slowness / (hint or 1.0), now)
                 count.add(1.0, now)
             if view.cause == "hung" or trial:
                 return self._readmit(push.backend, view)
