--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -116,3 +116,15 @@
                 bench.end(f"i{step}", number, Outcome.FULL if backend == broken else Outcome.COMPLETED)
     pushes = [backend for account in bench.accounts.values() for backend, _ in account.pushes]
     assert 2 <= pushes.count(broken) <= 5
+
+
+def test_the_room_for_pushes_grows_back_after_a_jam() -> None:
+    bench = Bench()
+    bench.list([entry(n) for n in range(4)])
+    admission = bench.node.admission
+    admission.room = 2.2
+    for step in range(400):
+        for copy in range(4):
+            bench.come(f"i{step}.{copy}")
+        bench.complete_all(0.02)
+    assert admission.room > 6.0
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -492,6 +492,7 @@
 
         Guards against the jam in which clients leave before their answers and the backends go on working for
         nobody: the queue that causes it belongs to all nodes and none sees it but by answers being late.
+        `out` counts the push that ends: without it a small room was never half full and stayed small.
         """
         self.ends.add(1.0, now)
         self.lates.add(1.0 if late else 0.0, now)
@@ -632,10 +633,10 @@
         push = live.pushes[number]
         push.outcome = outcome
         live.open -= 1
-        self.out -= 1
         if outcome is Outcome.COMPLETED or outcome is Outcome.TIMED_OUT:
             late = outcome is not Outcome.COMPLETED or took - push.cost > 0.5 * live.offering.target_time
             self.admission.ended(late, self.out, now)
+        self.out -= 1
         since = self.health.view(push.backend).since
         cause = self.health.ended((id, number), push, live.offering, live.inv.hint, now)
         if cause:
