--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -128,3 +128,13 @@
             bench.come(f"i{step}.{copy}")
         bench.complete_all(0.02)
     assert admission.room > 6.0
+
+
+def test_costs_from_hints_are_not_ruled_by_the_lightest() -> None:
+    bench = Bench()
+    bench.list([entry(n) for n in range(4)])
+    for step in range(200):
+        hint = 0.0002 if step % 2 else 0.04
+        bench.come(f"i{step}", hint=hint)
+        bench.complete_all(hint + 0.004)
+    assert bench.node.health.cost(OFFERINGS[0], 0.04, bench.now) < 0.06
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -300,8 +300,10 @@
         if sums is None:
             sums = self.units[offering.name] = (Fading(30.0), Fading(30.0))
         # Until something is learned: an answer in a fifth of the target time, or as long as the hint says.
-        guess = 1.0 if hint else offering.target_time / 5.0
-        return (sums[0].read(now) + guess) / (sums[1].read(now) + 1.0) * (hint or 1.0)
+        # A ratio of sums: a mean of ratios is ruled by the lightest, whose answers cannot be any quicker.
+        weight = offering.target_time if hint else 1.0
+        guess = weight if hint else offering.target_time / 5.0
+        return (sums[0].read(now) + guess) / (sums[1].read(now) + weight) * (hint or 1.0)
 
     def slowness(self, view: View, cost: float, now: float) -> float:
         """How many times longer than expected this backend's answers have lately taken."""
@@ -362,8 +364,8 @@
             if push.ahead == 0.0:
                 busy, count = self.units[offering.name]
                 # Guards against a crowd passing for costly work: other nodes' pushes wait there unseen.
-                busy.add(took / slowness / (hint or 1.0), now)
-                count.add(1.0, now)
+                busy.add(took / slowness, now)
+                count.add(hint or 1.0, now)
             if view.cause == "hung" or trial:
                 return self._readmit(push.backend, view)
         elif outcome is Outcome.ERRED:
