--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -551,7 +551,7 @@
 
     INTERVAL = 1.0  # seconds between rebuilds of the rotation, as in the design's source
     SWEEP = 0.025  # seconds between looks at what is unanswered: a tenth of the shortest usual target time
-    AFAR = 0.1  # of the target time: what another zone must be quicker by, for a crossing has its price
+    AFAR = 0.2  # of the target time: what another zone must be quicker by, for a crossing has its price
     LAST_MOMENT = 0.005  # seconds; nothing can be answered in less
 
     def __init__(
