--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -247,8 +247,8 @@
     """What this node has seen of one backend."""
 
     __slots__ = (
-        "open", "work", "answered", "learned", "took", "expected", "fine", "erred", "signs",
-        "full_until", "fulls", "cause", "since", "until", "strikes", "trial", "cold",
+        "open", "work", "answered", "learned", "others", "reports", "took", "expected", "fine", "erred",
+        "signs", "full_until", "fulls", "cause", "since", "until", "strikes", "trial", "cold",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -257,6 +257,7 @@
         self.answered = 0.0  # when it last gave any sign of life
         self.learned = 0.0  # when a push last told how slow it is
         self.took, self.expected = Fading(Health.MEMORY), Fading(Health.MEMORY)
+        self.others, self.reports = Fading(Health.REPORTED), Fading(Health.REPORTED)
         self.fine, self.erred = Fading(Health.MEMORY), Fading(Health.MEMORY)
         self.signs = 0  # of a dead process, since the last completed push
         self.fulls, self.full_until = 0, 0.0
@@ -276,6 +277,7 @@
     """
 
     MEMORY = 4.0  # seconds: dozens of answers at ten a second, and a trouble is forgotten within ten
+    REPORTED = 1.0  # seconds; reports are about that old when they come, and pass as quickly
     SILENCE = 0.35  # seconds; longer than a collector's pause, shorter than any client waits
     TOO_MANY_ERRORS = 0.25  # well above what sound backends err, below what hurts more than a lost backend
     FIRST_SENTENCE = 1.0  # seconds until the first trial; doubles up to the last
@@ -287,6 +289,7 @@
         self.units: dict[str, tuple[Fading, Fading]] = {}
         self.ejected = 0
         self.slowest = self.slowest_at = 0.0
+        self.typical = 0.0  # what a push has lately cost in the mean
 
     def view(self, backend: Backend) -> View:
         view = self.views.get(backend.id)
@@ -316,7 +319,7 @@
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
         view = self.view(backend)
         slowness = self.slowness(view, cost, now)
-        wait = slowness * (view.work + cost)
+        wait = slowness * (self.ahead(view, now) + cost)
         if view.open:
             oldest = next(iter(view.open.values())).sent
             wait = max(wait, now - max(view.answered, oldest))
@@ -337,8 +340,23 @@
     def sent(self, key: tuple[str, int], push: Push) -> None:
         view = self.view(push.backend)
         view.open[key] = push
+        self.typical += 0.02 * (push.cost - self.typical)
         view.work += push.cost
 
+    def reported(self, backend: Backend, in_hand: float, now: float) -> None:
+        """A load report: what the backend holds beyond this node's own pushes comes from the other nodes."""
+        view = self.view(backend)
+        others = max(0.0, in_hand - len(view.open) - 1.0)
+        view.others.add(others, now)
+        view.reports.add(1.0, now)
+
+    def ahead(self, view: View, now: float) -> float:
+        """Work that a push would find there: this node's, and the others' where backends report it."""
+        reports = view.reports.read(now)
+        if reports < 0.05:
+            return view.work
+        return view.work + view.others.read(now) / (reports + 0.5) * self.typical
+
     def ended(self, key: tuple[str, int], push: Push, offering: Offering, hint: float, now: float) -> str:
         """Take in an outcome; returns the cause that the backend was out for if this brings it back."""
         view = self.view(push.backend)
@@ -361,7 +379,7 @@
             view.took.add(took, now)
             view.learned = now
             view.expected.add(expected, now)
-            if push.ahead == 0.0:
+            if push.ahead < 0.1 * push.cost:
                 busy, count = self.units[offering.name]
                 # Guards against a crowd passing for costly work: other nodes' pushes wait there unseen.
                 busy.add(took / slowness, now)
@@ -627,7 +645,7 @@
         outcome: Outcome,
         took: float,
         last: bool,
-        report: dict[str, float],
+        in_hand: float | None,
     ) -> None:
         live = self.live.get(id)
         if live is None or number >= len(live.pushes) or live.pushes[number].outcome is not None:
@@ -639,6 +657,8 @@
             late = outcome is not Outcome.COMPLETED or took - push.cost > 0.5 * live.offering.target_time
             self.admission.ended(late, self.out, now)
         self.out -= 1
+        if in_hand is not None:
+            self.health.reported(push.backend, in_hand, now)
         since = self.health.view(push.backend).since
         cause = self.health.ended((id, number), push, live.offering, live.inv.hint, now)
         if cause:
@@ -732,7 +752,7 @@
             self._give_up(live, now)
             return
         view = self.health.view(backend)
-        push = Push(backend, now, live.cost, view.work)
+        push = Push(backend, now, live.cost, self.health.ahead(view, now))
         number = len(live.pushes)
         live.pushes.append(push)
         live.open += 1
