--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -319,7 +319,7 @@
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
         view = self.view(backend)
         slowness = self.slowness(view, cost, now)
-        wait = slowness * (self.ahead(view, now) + cost)
+        wait = slowness * (view.work + cost)
         if view.open:
             oldest = next(iter(view.open.values())).sent
             wait = max(wait, now - max(view.answered, oldest))
@@ -350,12 +350,11 @@
         view.others.add(others, now)
         view.reports.add(1.0, now)
 
-    def ahead(self, view: View, now: float) -> float:
-        """Work that a push would find there: this node's, and the others' where backends report it."""
+    def others(self, backend: Backend, now: float) -> float:
+        """Work that other nodes have there, where backends report their load; some seconds old at worst."""
+        view = self.view(backend)
         reports = view.reports.read(now)
-        if reports < 0.05:
-            return view.work
-        return view.work + view.others.read(now) / (reports + 0.5) * self.typical
+        return view.others.read(now) / (reports + 0.5) * self.typical if reports > 0.05 else 0.0
 
     def ended(self, key: tuple[str, int], push: Push, offering: Offering, hint: float, now: float) -> str:
         """Take in an outcome; returns the cause that the backend was out for if this brings it back."""
@@ -752,7 +751,7 @@
             self._give_up(live, now)
             return
         view = self.health.view(backend)
-        push = Push(backend, now, live.cost, self.health.ahead(view, now))
+        push = Push(backend, now, live.cost, view.work)
         number = len(live.pushes)
         live.pushes.append(push)
         live.open += 1
@@ -779,7 +778,8 @@
         afar = self.AFAR * live.offering.target_time
 
         def wait(backend: Backend) -> float:
-            return self.health.wait(backend, live.cost, now) + (afar if backend.zone != self.zone else 0.0)
+            away = afar if backend.zone != self.zone else 0.0
+            return self.health.wait(backend, live.cost, now) + self.health.others(backend, now) + away
 
         return self.rotation.pick(allowed, wait)
 
