--- a/tests/harness.py
+++ b/tests/harness.py
@@ -144,7 +144,7 @@
         if outcome is Outcome.COMPLETED and not account.final:
             account.final = "completed"
         sent = account.pushes[number][1]
-        self.node.on_push_ended(self.now, id, number, outcome, self.now - sent, bool(account.final), None)
+        self.node.on_push_ended(self.now, id, number, outcome, self.now - sent, bool(account.final))
 
     def leave(self, id: str) -> None:
         self.accounts[id].final = self.accounts[id].final or "left"
--- a/thornladder/adapter/__main__.py
+++ b/thornladder/adapter/__main__.py
@@ -110,7 +110,6 @@
             wire.lookup(wire.OUTCOMES, message, "Reason"),
             wire.seconds(message, "TimeTaken", 0.0),
             bool(message.get("Last")),
-            wire.in_hand(message),
         )
 
     def _bell(self, node: decide.Node, message: Message) -> None:
--- a/thornladder/adapter/wire.py
+++ b/thornladder/adapter/wire.py
@@ -105,12 +105,6 @@
     return found
 
 
-def in_hand(message: dict[str, Any]) -> float | None:
-    """How many invocations the backend says it holds; other values of a load report are not used so far."""
-    report = take(message, "Report", dict, {})
-    return take(report, "rif", float) if "rif" in report else None
-
-
 def invocation(message: dict[str, Any]) -> api.Invocation:
     flags = take(message, "Flags", int, 0)
     tenant = message.get("UserGroup") or ""
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -247,8 +247,8 @@
     """What this node has seen of one backend."""
 
     __slots__ = (
-        "open", "work", "answered", "learned", "others", "reports", "took", "expected", "fine", "erred",
-        "signs", "full_until", "fulls", "cause", "since", "until", "strikes", "trial", "cold",
+        "open", "work", "answered", "learned", "took", "expected", "fine", "erred", "signs",
+        "full_until", "fulls", "cause", "since", "until", "strikes", "trial", "cold",
     )  # fmt: skip
 
     def __init__(self) -> None:
@@ -257,7 +257,6 @@
         self.answered = 0.0  # when it last gave any sign of life
         self.learned = 0.0  # when a push last told how slow it is
         self.took, self.expected = Fading(Health.MEMORY), Fading(Health.MEMORY)
-        self.others, self.reports = Fading(Health.REPORTED), Fading(Health.REPORTED)
         self.fine, self.erred = Fading(Health.MEMORY), Fading(Health.MEMORY)
         self.signs = 0  # of a dead process, since the last completed push
         self.fulls, self.full_until = 0, 0.0
@@ -277,7 +276,6 @@
     """
 
     MEMORY = 4.0  # seconds: dozens of answers at ten a second, and a trouble is forgotten within ten
-    REPORTED = 1.0  # seconds; reports are about that old when they come, and pass as quickly
     SILENCE = 0.35  # seconds; longer than a collector's pause, shorter than any client waits
     TOO_MANY_ERRORS = 0.25  # well above what sound backends err, below what hurts more than a lost backend
     FIRST_SENTENCE = 1.0  # seconds until the first trial; doubles up to the last
@@ -289,7 +287,6 @@
         self.units: dict[str, tuple[Fading, Fading]] = {}
         self.ejected = 0
         self.slowest = self.slowest_at = 0.0
-        self.typical = 0.0  # what a push has lately cost in the mean
 
     def view(self, backend: Backend) -> View:
         view = self.views.get(backend.id)
@@ -340,22 +337,8 @@
     def sent(self, key: tuple[str, int], push: Push) -> None:
         view = self.view(push.backend)
         view.open[key] = push
-        self.typical += 0.02 * (push.cost - self.typical)
         view.work += push.cost
 
-    def reported(self, backend: Backend, in_hand: float, now: float) -> None:
-        """A load report: what the backend holds beyond this node's own pushes comes from the other nodes."""
-        view = self.view(backend)
-        others = max(0.0, in_hand - len(view.open) - 1.0)
-        view.others.add(others, now)
-        view.reports.add(1.0, now)
-
-    def others(self, backend: Backend, now: float) -> float:
-        """Work that other nodes have there, where backends report their load; some seconds old at worst."""
-        view = self.view(backend)
-        reports = view.reports.read(now)
-        return view.others.read(now) / (reports + 0.5) * self.typical if reports > 0.05 else 0.0
-
     def ended(self, key: tuple[str, int], push: Push, offering: Offering, hint: float, now: float) -> str:
         """Take in an outcome; returns the cause that the backend was out for if this brings it back."""
         view = self.view(push.backend)
@@ -644,7 +627,6 @@
         outcome: Outcome,
         took: float,
         last: bool,
-        in_hand: float | None,
     ) -> None:
         live = self.live.get(id)
         if live is None or number >= len(live.pushes) or live.pushes[number].outcome is not None:
@@ -656,8 +638,6 @@
             late = outcome is not Outcome.COMPLETED or took - push.cost > 0.5 * live.offering.target_time
             self.admission.ended(late, self.out, now)
         self.out -= 1
-        if in_hand is not None:
-            self.health.reported(push.backend, in_hand, now)
         since = self.health.view(push.backend).since
         cause = self.health.ended((id, number), push, live.offering, live.inv.hint, now)
         if cause:
@@ -778,8 +758,7 @@
         afar = self.AFAR * live.offering.target_time
 
         def wait(backend: Backend) -> float:
-            away = afar if backend.zone != self.zone else 0.0
-            return self.health.wait(backend, live.cost, now) + self.health.others(backend, now) + away
+            return self.health.wait(backend, live.cost, now) + (afar if backend.zone != self.zone else 0.0)
 
         return self.rotation.pick(allowed, wait)
 
