--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -450,29 +450,18 @@
     RESERVED = 0.6  # the part of the room that is open to any utility; the rest opens up with utility
     MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
     PAUSE = 0.1  # seconds between two cuts: an answer's time, so that each cut is seen before the next
-    NEARLY_IDLE = 0.5  # pushes out at each backend by all nodes: half of one-core backends have nothing to do
-    REST = 5.0  # seconds: every client has left by then, and a backend has worked off what it held
-    REST_AGAIN = 30.0  # seconds: a rest that did not help is not tried again soon
     FIRST_ROOM = 4.0  # pushes out at each backend by all nodes, until something is learned
 
-    def __init__(  # fmt: skip
-        self, tenants: list[Tenant], over_share: float, nodes: int, top: float, by_work: bool,
-        log: Callable[[str], None],
+    def __init__(
+        self, tenants: list[Tenant], over_share: float, nodes: int, top: float, by_work: bool
     ) -> None:
-        self.log = log
         self.rates = {tenant.name: tenant.allowance / nodes for tenant in tenants}
         self.over_share, self.top, self.by_work = over_share, top, by_work
         self.seen = {tenant.name: Fading(2.0) for tenant in tenants}
         self.best = 0.0  # the most utility for a second of work seen lately
-        self.fair = 0.0  # backends to each node
-        self.rested_at = -self.REST_AGAIN
         self.room = 0.0  # how many pushes this node may have out
         self.ends, self.lates, self.cut_at = Fading(0.5), Fading(0.5), 0.0
 
-    def sized(self, fair: float) -> None:
-        self.fair = fair
-        self.room = self.room or self.FIRST_ROOM * fair
-
     def rank(self, live: Live, now: float) -> float:
         """How much an invocation is worth for the work it makes, as a share of the most there is."""
         offering, worth = live.offering, live.offering.utility
@@ -493,8 +482,6 @@
             seen.add(1.0, now)
 
     def refuses(self, live: Live, wait: float, out: int, now: float) -> bool:
-        if now < self.rested_at + self.REST:
-            return True
         rank = self.rank(live, now)
         if out >= self.room * (self.RESERVED + (1.0 - self.RESERVED) * rank):
             return True
@@ -515,11 +502,6 @@
         if share > self.MANY_LATE:
             if now - self.cut_at > self.PAUSE:
                 self.room, self.cut_at = max(self.room * 0.85, 1.0), now
-                if self.room < self.NEARLY_IDLE * self.fair and now > self.rested_at + self.REST_AGAIN:
-                    # Guards against backends that a long queue has made slow for good: late though next to
-                    # nothing is out, they recover only when left alone.
-                    self.rested_at, self.room = now, self.FIRST_ROOM * self.fair
-                    self.log("rests the fleet: answers are late though next to nothing is out")
         elif not late and out >= 0.5 * self.room:
             self.room += 1.0 / self.room
 
@@ -598,7 +580,7 @@
         self.roster = Roster(self.ramp, now)
         self.rotation = Rotation(self.chance)
         self.health = Health(self.chance, host.log)
-        self.admission = Admission(tenants, over_share_worth, nodes, top, utility_by_work, host.log)
+        self.admission = Admission(tenants, over_share_worth, nodes, top, utility_by_work)
         self.retries = Retries(limits.max_pushes, top)
         self.live: dict[str, Live] = {}
         self.watch_wait = 0.0
@@ -620,6 +602,8 @@
             self.watch_wait = 0.0
         self.roster.on_list(kind, entries, now)
         self._rebuild(now)
+        if not self.admission.room:
+            self.admission.room = self.admission.FIRST_ROOM * len(self.rotation.seats) / self.nodes
 
     def on_invocation(self, now: float, inv: Invocation) -> None:
         offering = self.offerings[inv.offering]
@@ -651,7 +635,7 @@
         push.outcome = outcome
         live.open -= 1
         if outcome is Outcome.COMPLETED or outcome is Outcome.TIMED_OUT:
-            late = outcome is not Outcome.COMPLETED or took - push.cost > 0.5 * live.offering.target_time
+            late = outcome is not Outcome.COMPLETED or took - push.cost > 0.3 * live.offering.target_time
             self.admission.ended(late, self.out, now)
         self.out -= 1
         since = self.health.view(push.backend).since
@@ -856,4 +840,3 @@
             if backend.ramp_start is not None and now - backend.ramp_start >= self.ramp.length:
                 backend.ramp_start = None
         self.rotation.rebuild(backends, lambda backend: self.ramp.ratio(backend, now))
-        self.admission.sized(len(backends) / self.nodes)
