--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -138,3 +138,18 @@
         bench.come(f"i{step}", hint=hint)
         bench.complete_all(hint + 0.004)
     assert bench.node.health.cost(OFFERINGS[0], 0.04, bench.now) < 0.06
+
+
+def test_half_of_the_fleet_dead_gets_no_more_than_trials() -> None:
+    bench = Bench(probes=False)
+    bench.list([entry(n) for n in range(8)])
+    for step in range(600):
+        account = bench.come(f"i{step}")
+        bench.advance(0.01)
+        for number in range(9):
+            if number < len(account.pushes) and number not in account.ended:
+                gone = int(account.pushes[number][0][1:]) < 5
+                bench.end(f"i{step}", number, Outcome.UNREACHABLE if gone else Outcome.COMPLETED)
+    late = [account for id, account in bench.accounts.items() if int(id[1:]) >= 100]
+    assert all(account.final == "completed" for account in late)
+    assert sum(len(account.pushes) for account in late) < 1.1 * len(late)
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -414,9 +414,13 @@
         view = self.views.get(backend.id)
         return view is not None and view.cause != "" and now >= view.until and not view.trial
 
-    def crowded_out(self, usable: int) -> bool:
-        """Whether so many are ejected that there must be another reason; then all are used again."""
-        return self.ejected * 2 > usable
+    def crowded_out(self, backend: Backend, usable: int) -> bool:
+        """Whether so many are ejected that there must be another reason; then all but the dead are used.
+
+        Nothing is gained from a process that takes no connections, however many are gone: with half of a
+        fleet dead, pushes to them would use up every budget.
+        """
+        return self.ejected * 2 > usable and self.views[backend.id].cause not in ("", "dead")
 
     def _eject(self, backend: Backend, view: View, cause: str, now: float) -> None:
         if not view.cause:
@@ -748,10 +752,12 @@
 
     def _pick(self, live: Live, now: float) -> Backend | None:
         tried = {push.backend.id for push in live.pushes}
-        crowded = self.health.crowded_out(len(self.rotation.seats))
+        usable = len(self.rotation.seats)
 
         def allowed(backend: Backend) -> bool:
-            if backend.id in tried or not (crowded or self.health.pickable(backend, now)):
+            if backend.id in tried:
+                return False
+            if not self.health.pickable(backend, now) and not self.health.crowded_out(backend, usable):
                 return False
             return self.may_push(live, backend, now)
 
