--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -451,7 +451,8 @@
     LOW = 0.25
     # … and than this one to the most: beyond it an answer is likely to be late whatever it is for.
     HIGH = 0.6
-    RESERVED = 0.6  # the part of the room that is open to any utility; the rest opens up with utility
+    OPEN = 0.3  # the part of the room open to any utility; the rest opens up with the root of the rank,
+    # so that a flood of next to no utility leaves room for the least that is worth something
     MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
     PAUSE = 0.1  # seconds between two cuts: an answer's time, so that each cut is seen before the next
     FIRST_ROOM = 4.0  # pushes out at each backend by all nodes, until something is learned
@@ -487,7 +488,7 @@
 
     def refuses(self, live: Live, wait: float, out: int, now: float) -> bool:
         rank = self.rank(live, now)
-        if out >= self.room * (self.RESERVED + (1.0 - self.RESERVED) * rank):
+        if out >= self.room * (self.OPEN + (1.0 - self.OPEN) * rank**0.5):
             return True
         limit = self.LOW + (self.HIGH - self.LOW) * rank
         # Its own cost is no sign of crowding: a heavy invocation is not to be turned away for being heavy.
@@ -506,7 +507,7 @@
         if share > self.MANY_LATE:
             if now - self.cut_at > self.PAUSE:
                 self.room, self.cut_at = max(self.room * 0.85, 1.0), now
-        elif not late and out >= 0.5 * self.room:
+        elif not late and out >= self.OPEN * self.room:
             self.room += 1.0 / self.room
 
 
