--- a/tests/harness.py
+++ b/tests/harness.py
@@ -61,7 +61,7 @@
         limits = Limits(max_pushes=4, second_copies=copies, cancelling=True, probes=probes, come_back=0.5)
         self.node = decide.Node(
             self, seed=seed, now=self.now, zone="x", nodes=2, offerings=OFFERINGS,
-            tenants=[Tenant("t", 1.0, 100.0)], over_share_worth=0.1, utility_by_work=True, limits=limits,
+            tenants=[Tenant("t", 0.5, 100.0), Tenant("u", 0.5, 100.0)], over_share_worth=0.1, utility_by_work=True, limits=limits,
             cold=COLD, must_ask_in=10.0, warm_keys=False,
         )  # fmt: skip
 
@@ -131,11 +131,13 @@
             (self.listed.add if line.state is State.RUNNING else self.listed.discard)(line.backend)
         self.node.on_list(self.now, kind, entries)
 
-    def come(self, id: str, name: str = "look", left: float | None = None, hint: float = 0.0) -> Account:
+    def come(
+        self, id: str, name: str = "look", left: float | None = None, hint: float = 0.0, tenant: str = "t"
+    ) -> Account:
         offering = next(offering for offering in OFFERINGS if offering.name == name)
         left = offering.cut_off if left is None else left
         account = self.accounts[id] = Account(offering, self.now + left)
-        self.node.on_invocation(self.now, Invocation(id, name, "t", left, hint, None, False))
+        self.node.on_invocation(self.now, Invocation(id, name, tenant, left, hint, None, False))
         return account
 
     def end(self, id: str, number: int, outcome: Outcome) -> None:
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -462,7 +462,7 @@
     ) -> None:
         self.rates = {tenant.name: tenant.allowance / nodes for tenant in tenants}
         self.over_share, self.top, self.by_work = over_share, top, by_work
-        self.seen = {tenant.name: Fading(2.0) for tenant in tenants}
+        self.shares: dict[str, tuple[float, float]] = {}  # what each tenant has left, and as of when
         self.best = 0.0  # the most utility for a second of work seen lately
         self.room = 0.0  # how many pushes this node may have out
         self.ends, self.lates, self.cut_at = Fading(0.5), Fading(0.5), 0.0
@@ -470,8 +470,7 @@
     def rank(self, live: Live, now: float) -> float:
         """How much an invocation is worth for the work it makes, as a share of the most there is."""
         offering, worth = live.offering, live.offering.utility
-        seen = self.seen.get(live.inv.tenant)
-        if seen is not None and seen.read(now) > 2.0 * self.rates[live.inv.tenant]:
+        if live.over_share:
             worth *= self.over_share
         if live.inv.again:
             worth *= offering.late_share  # the first try's target time has most likely passed
@@ -482,9 +481,14 @@
         return worth / self.best if self.best else 0.0
 
     def came(self, live: Live, now: float) -> None:
-        seen = self.seen.get(live.inv.tenant)
-        if seen is not None:
-            seen.add(1.0, now)
+        """Count an invocation against its tenant's share: this node's part, a second of it saved up."""
+        rate = self.rates.get(live.inv.tenant)
+        if rate is None or live.inv.again:
+            return
+        left, at = self.shares.get(live.inv.tenant, (rate, now))
+        left = min(left + rate * (now - at), rate)
+        live.over_share = left < 1.0
+        self.shares[live.inv.tenant] = (left if live.over_share else left - 1.0, now)
 
     def refuses(self, live: Live, wait: float, out: int, now: float) -> bool:
         rank = self.rank(live, now)
@@ -538,7 +542,7 @@
 
     __slots__ = (
         "inv", "offering", "arrived", "cut_off", "cost", "pushes", "open", "answered", "moving",
-        "look_at",
+        "look_at", "over_share",
     )  # fmt: skip
 
     def __init__(self, inv: Invocation, offering: Offering, cost: float, now: float) -> None:
@@ -547,6 +551,7 @@
         self.pushes: list[Push] = []
         self.open = 0
         self.answered = False
+        self.over_share = False
         self.moving = False  # cancelled in order to be pushed elsewhere
         self.look_at = now
 
