--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -455,6 +455,7 @@
     # so that a flood of next to no utility leaves room for the least that is worth something
     MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
     PAUSE = 0.1  # seconds between two cuts: an answer's time, so that each cut is seen before the next
+    MOST_ROOM = 6.0  # however well answers come: what holds more is slowed by that alone
     FIRST_ROOM = 4.0  # pushes out at each backend by all nodes, until something is learned
 
     def __init__(
@@ -464,9 +465,14 @@
         self.over_share, self.top, self.by_work = over_share, top, by_work
         self.shares: dict[str, tuple[float, float]] = {}  # what each tenant has left, and as of when
         self.best = 0.0  # the most utility for a second of work seen lately
+        self.fair = 0.0  # backends to each node
         self.room = 0.0  # how many pushes this node may have out
         self.ends, self.lates, self.cut_at = Fading(0.5), Fading(0.5), 0.0
 
+    def sized(self, fair: float) -> None:
+        self.fair = fair
+        self.room = self.room or self.FIRST_ROOM * fair
+
     def rank(self, live: Live, now: float) -> float:
         """How much an invocation is worth for the work it makes, as a share of the most there is."""
         offering, worth = live.offering, live.offering.utility
@@ -512,7 +518,7 @@
             if now - self.cut_at > self.PAUSE:
                 self.room, self.cut_at = max(self.room * 0.85, 1.0), now
         elif not late and out >= self.OPEN * self.room:
-            self.room += 1.0 / self.room
+            self.room = min(self.room + 1.0 / self.room, self.MOST_ROOM * self.fair)
 
 
 class Retries:
@@ -612,8 +618,6 @@
             self.watch_wait = 0.0
         self.roster.on_list(kind, entries, now)
         self._rebuild(now)
-        if not self.admission.room:
-            self.admission.room = self.admission.FIRST_ROOM * len(self.rotation.seats) / self.nodes
 
     def on_invocation(self, now: float, inv: Invocation) -> None:
         offering = self.offerings[inv.offering]
@@ -852,3 +856,4 @@
             if backend.ramp_start is not None and now - backend.ramp_start >= self.ramp.length:
                 backend.ramp_start = None
         self.rotation.rebuild(backends, lambda backend: self.ramp.ratio(backend, now))
+        self.admission.sized(len(backends) / self.nodes)
