--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -801,7 +801,9 @@
         if live.open or live.answered:
             return
         if self.may_nack(live):
-            self.host.nack(live.inv.id, self.limits.come_back * (0.5 + 0.5 * self.chance.draw()))
+            # Long enough for a queue to move on, short enough for a late answer; spread over the clients.
+            come_back = live.offering.target_time * (0.25 + 0.5 * self.chance.draw())
+            self.host.nack(live.inv.id, min(come_back, self.limits.come_back))
         else:
             self.host.terminate(live.inv.id)
         live.answered = True
