--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -169,3 +169,17 @@
     share = {t: sum(a.final == "nacked" for a in got) / len(got) for t, got in asked.items()}
     assert share["t"] > 0.3
     assert share["u"] < 0.5 * share["t"], share
+
+
+def test_a_trial_that_is_due_turns_nothing_away() -> None:
+    bench = Bench(probes=False)
+    bench.list([entry(n) for n in range(4)])
+    bad = bench.come("a").pushes[0][0]
+    bench.node.health.views[bad].erred.add(9.0, bench.now)
+    bench.end("a", 0, Outcome.ERRED)
+    assert bench.lines == [f"ejected {bad}: erring"]
+    bench.complete_all()
+    bench.advance(2.0)
+    for step in range(20):
+        assert not bench.come(f"i{step}").final, "turned away for the trial's sake"
+        bench.complete_all()
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -625,10 +625,15 @@
         self.live[inv.id] = live
         self.retries.came()
         self.admission.came(live, now)
-        backend = self._trial(live, now) or self._pick(live, now)
-        if backend is None or self.admission.refuses(
-            live, self.health.wait(backend, live.cost, now), self.out, now
-        ):
+        backend = self._pick(live, now)
+        if backend is not None:
+            wait = self.health.wait(backend, live.cost, now)
+            if self.admission.refuses(live, wait, self.out, now):
+                self._give_up(live, now)
+                return
+        # After admission: an ejected backend's own long wait is no reason to turn an invocation away.
+        backend = self._trial(live, now) or backend
+        if backend is None:
             self._give_up(live, now)
         else:
             self._push(live, backend, now)
