--- a/tests/harness.py
+++ b/tests/harness.py
@@ -63,7 +63,7 @@
             self, seed=seed, now=self.now, zone="x", nodes=2, offerings=OFFERINGS,
             tenants=[Tenant("t", 0.5, 100.0), Tenant("u", 0.5, 100.0)],
             over_share_worth=0.1, utility_by_work=True, limits=limits,
-            cold=COLD, must_ask_in=10.0, warm_keys=False,
+            cold=COLD, must_ask_in=10.0,
         )  # fmt: skip
 
     # The host's calls.
--- a/thornladder/adapter/wire.py
+++ b/thornladder/adapter/wire.py
@@ -151,7 +151,6 @@
             span=seconds(rules, "Fall"),
         ),
         "must_ask_in": seconds(rules, "MustAskIn", 10.0) if info.get("Discovery") == "on_request" else 0.0,
-        "warm_keys": take(take(info, "Domain", dict, {}), "WarmKeys", bool, False),
     }
 
 
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -585,7 +585,6 @@
         limits: Limits,
         cold: ColdRule,
         must_ask_in: float,
-        warm_keys: bool,
     ) -> None:
         self.host, self.zone, self.nodes = host, zone, nodes
         self.limits, self.cold, self.must_ask_in = limits, cold, must_ask_in
