--- a/thornladder/adapter/__main__.py
+++ b/thornladder/adapter/__main__.py
@@ -100,7 +100,10 @@
                 self.reply.append(f"{broken}{json.dumps(repr(error))}}}")
 
     def _submit(self, node: decide.Node, message: Message) -> None:
-        node.on_invocation(self.now, wire.invocation(message))
+        invocation = wire.invocation(message)
+        if invocation.offering not in node.offerings:
+            raise wire.Malformed(f"Qos has the unknown value {invocation.offering!r}")
+        node.on_invocation(self.now, invocation)
 
     def _ended(self, node: decide.Node, message: Message) -> None:
         node.on_push_ended(
