--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,4 +1,4 @@
-"""The adapter: a batch answered, unknown keys skipped, malformed input refused, a module's exception reported."""
+"""The adapter: batches answered, unknown keys skipped, malformed input refused, exceptions reported."""
 
 from __future__ import annotations
 
@@ -44,7 +44,8 @@
 
 def test_halt_and_create_in_one_batch_start_afresh() -> None:
     empty = {**LIST, "Entries": []}
-    reply = play(SYNC, CREATE, LIST, FLUSH, SYNC, {"kind": "HALT", "I": "node-1"}, CREATE, empty, SUBMIT, FLUSH)
+    halt = {"kind": "HALT", "I": "node-1"}
+    reply = play(SYNC, CREATE, LIST, FLUSH, SYNC, halt, CREATE, empty, SUBMIT, FLUSH)
     assert [line["kind"] for line in reply if "Id" in line] == ["DECLINE"]
 
 
