--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -653,7 +653,7 @@
         push.outcome = outcome
         live.open -= 1
         if outcome is Outcome.COMPLETED or outcome is Outcome.TIMED_OUT:
-            late = outcome is not Outcome.COMPLETED or took - push.cost > 0.4 * live.offering.target_time
+            late = outcome is not Outcome.COMPLETED or took - push.cost > 0.3 * live.offering.target_time
             self.admission.ended(late, self.out, now)
         self.out -= 1
         since = self.health.view(push.backend).since
