--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -183,3 +183,12 @@
     for step in range(20):
         assert not bench.come(f"i{step}").final, "turned away for the trial's sake"
         bench.complete_all()
+
+
+def test_the_room_for_pushes_has_a_top() -> None:
+    """Guards against queues that make a backend slow although every answer is in time."""
+    bench = Bench()
+    bench.list([entry(n) for n in range(4)])
+    for step in range(3000):
+        bench.node.admission.ended(False, 100, bench.now + 0.001 * step)
+    assert bench.node.admission.room == 6.0 * 4 / 2
