--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 from math import exp, floor
 
-from thornladder.interface import (  # fmt: skip
+from thornladder.interface import (
     ColdRule,
     Entry,
     Host,
@@ -266,6 +266,15 @@
         self.trial = False
         self.cold: deque[tuple[float, float]] = deque()  # pushes while ramping: when, and expected cost
 
+    def silent(self, now: float) -> float:
+        """For how long pushes have waited without any sign of life."""
+        return now - max(self.answered, next(iter(self.open.values())).sent) if self.open else 0.0
+
+    def learn(self, took: float, expected: float, now: float) -> None:
+        self.took.add(took, now)
+        self.expected.add(expected, now)
+        self.learned = now
+
 
 class Health:
     """Tells a backend's troubles apart by what comes back from it and what does not.
@@ -316,10 +325,7 @@
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
         view = self.view(backend)
         slowness = self.slowness(view, cost, now)
-        wait = slowness * (view.work + cost)
-        if view.open:
-            oldest = next(iter(view.open.values())).sent
-            wait = max(wait, now - max(view.answered, oldest))
+        wait = max(slowness * (view.work + cost), view.silent(now))
         errors = view.erred.read(now)
         if errors > 0.01:
             # An erring backend answers fast and would draw the traffic; an error costs a further push.
@@ -356,11 +362,8 @@
             view.fine.add(1.0, now)
             if took > self.longest(now):
                 self.slowest, self.slowest_at = took, now
-            expected = push.ahead + push.cost
             slowness = max(1.0, self.slowness(view, push.cost, now))
-            view.took.add(took, now)
-            view.learned = now
-            view.expected.add(expected, now)
+            view.learn(took, push.ahead + push.cost, now)
             if push.ahead < 0.1 * push.cost:
                 busy, count = self.units[offering.name]
                 # Guards against a crowd passing for costly work: other nodes' pushes wait there unseen.
@@ -384,9 +387,7 @@
                 self._eject(push.backend, view, "dead", now)
         elif outcome is Outcome.TIMED_OUT or outcome is Outcome.CANCELLED:
             # What was given up on says at least this much about how long the backend takes.
-            view.took.add(took, now)
-            view.learned = now
-            view.expected.add(min(push.ahead + push.cost, took), now)
+            view.learn(took, min(push.ahead + push.cost, took), now)
         return ""
 
     def look(self, backends: list[Backend], now: float) -> None:
@@ -395,9 +396,8 @@
             view = self.views.get(backend.id)
             if view is None or not view.open or view.cause:
                 continue
-            silent = now - max(view.answered, next(iter(view.open.values())).sent)
             usual = max(self.SILENCE, min(1.5 * self.longest(now), 3.0 * self.SILENCE))
-            if silent > usual * (1.0 if len(view.open) > 1 else 2.0):
+            if view.silent(now) > usual * (1.0 if len(view.open) > 1 else 2.0):
                 self._eject(backend, view, "hung", now)
 
     def probed(self, backend: Backend, outcome: Outcome, now: float) -> str:
@@ -453,6 +453,7 @@
     HIGH = 0.6
     OPEN = 0.3  # the part of the room open to any utility; the rest opens up with the root of the rank,
     # so that a flood of next to no utility leaves room for the least that is worth something
+    LATE = 0.3  # of the target time: later than that, queues already slow backends down (incident if777b3)
     MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
     PAUSE = 0.1  # seconds between two cuts: an answer's time, so that each cut is seen before the next
     MOST_ROOM = 6.0  # however well answers come: what holds more is slowed by that alone
@@ -473,7 +474,7 @@
         self.fair = fair
         self.room = self.room or self.FIRST_ROOM * fair
 
-    def rank(self, live: Live, now: float) -> float:
+    def rank(self, live: Live) -> float:
         """How much an invocation is worth for the work it makes, as a share of the most there is."""
         offering, worth = live.offering, live.offering.utility
         if live.over_share:
@@ -496,8 +497,8 @@
         live.over_share = left < 1.0
         self.shares[live.inv.tenant] = (left if live.over_share else left - 1.0, now)
 
-    def refuses(self, live: Live, wait: float, out: int, now: float) -> bool:
-        rank = self.rank(live, now)
+    def refuses(self, live: Live, wait: float, out: int) -> bool:
+        rank = self.rank(live)
         if out >= self.room * (self.OPEN + (1.0 - self.OPEN) * rank**0.5):
             return True
         limit = self.LOW + (self.HIGH - self.LOW) * rank
@@ -547,12 +548,12 @@
     """An invocation in this node's hands."""
 
     __slots__ = (
-        "inv", "offering", "arrived", "cut_off", "cost", "pushes", "open", "answered", "moving",
+        "inv", "offering", "cut_off", "cost", "pushes", "open", "answered", "moving",
         "look_at", "over_share",
     )  # fmt: skip
 
     def __init__(self, inv: Invocation, offering: Offering, cost: float, now: float) -> None:
-        self.inv, self.offering, self.cost, self.arrived = inv, offering, cost, now
+        self.inv, self.offering, self.cost = inv, offering, cost
         self.cut_off = now + inv.time_left
         self.pushes: list[Push] = []
         self.open = 0
@@ -627,7 +628,7 @@
         backend = self._pick(live, now)
         if backend is not None:
             wait = self.health.wait(backend, live.cost, now)
-            if self.admission.refuses(live, wait, self.out, now):
+            if self.admission.refuses(live, wait, self.out):
                 self._give_up(live, now)
                 return
         # After admission: an ejected backend's own long wait is no reason to turn an invocation away.
@@ -653,13 +654,12 @@
         push.outcome = outcome
         live.open -= 1
         if outcome is Outcome.COMPLETED or outcome is Outcome.TIMED_OUT:
-            late = outcome is not Outcome.COMPLETED or took - push.cost > 0.3 * live.offering.target_time
-            self.admission.ended(late, self.out, now)
+            in_time = push.cost + self.admission.LATE * live.offering.target_time
+            self.admission.ended(outcome is Outcome.TIMED_OUT or took > in_time, self.out, now)
         self.out -= 1
-        since = self.health.view(push.backend).since
         cause = self.health.ended((id, number), push, live.offering, live.inv.hint, now)
         if cause:
-            self._readmitted(push.backend, since, cause, now)
+            self._readmitted(push.backend, cause, now)
         if last and not live.answered:
             live.answered = True
             self._cancel_rest(live)
@@ -683,10 +683,9 @@
     def on_probe_ended(self, now: float, backend_id: str, outcome: Outcome) -> None:
         backend = self.roster.known.get(backend_id)
         if backend is not None:
-            since = self.health.view(backend).since
             cause = self.health.probed(backend, outcome, now)
             if cause:
-                self._readmitted(backend, since, cause, now)
+                self._readmitted(backend, cause, now)
 
     def on_timer(self, now: float, name: str) -> None:
         if name == "sweep":
@@ -738,7 +737,7 @@
             sent.popleft()
         largest = max((seat.backend.weight or 1.0 for seat in self.rotation.seats), default=1.0) or 1.0
         size = min(1.0, (backend.weight or largest) / largest) if backend.weight is not None else 1.0
-        # Costs scatter and come from typical backends, so only half of the budget is used.
+        # Half, since costs scatter and the ramp may run at up to twice the surest capacity.
         budget = 0.5 * self.cold.multiple * ratio * size * self.cold.span / self.nodes
         return not sent or sum(spent for _, spent in sent) + cost <= budget
 
@@ -852,8 +851,8 @@
             live.moving = True
             self.host.cancel(live.inv.id, live.pushes.index(push))
 
-    def _readmitted(self, backend: Backend, since: float, cause: str, now: float) -> None:
-        self.roster.back(backend, since, cause == "dead", now)
+    def _readmitted(self, backend: Backend, cause: str, now: float) -> None:
+        self.roster.back(backend, self.health.view(backend).since, cause == "dead", now)
         self._rebuild(now)
 
     def _rebuild(self, now: float) -> None:
