A sentence that starts during a trial leaves the next trial open

Found on reading: an older push that broke off after a trial had gone out started a new sentence; the trial's end then no longer counted, its mark stayed, and the backend was out for good. Test fails without the change.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -192,3 +192,18 @@
     for step in range(3000):
         bench.node.admission.ended(False, 100, bench.now + 0.001 * step)
     assert bench.node.admission.room == 6.0 * 4 / 2
+
+
+def test_a_sentence_that_starts_during_a_trial_leaves_the_next_trial_open() -> None:
+    bench = Bench(probes=False)
+    bench.list([entry(1)])
+    for id in ("a", "b"):
+        bench.come(id)
+    bench.end("a", 0, Outcome.BROKEN_OFF)
+    bench.advance(2.0)
+    trial = bench.come("c")
+    assert len(trial.pushes) == 1
+    bench.end("b", 0, Outcome.BROKEN_OFF)  # an older push, so a new sentence
+    bench.end("c", 0, Outcome.TIMED_OUT)
+    bench.advance(10.0)
+    assert len(bench.come("d").pushes) == 1, "the backend stayed out for good"
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -431,6 +431,8 @@
             return
         # A process that broke its connections has restarted, whatever else it is out for.
         view.cause = "dead" if "dead" in (cause, view.cause) else cause
+        # A sentence that starts while a trial is out makes that trial void: else no other would follow.
+        view.trial = False
         sentence = min(self.FIRST_SENTENCE * 2.0**view.strikes, self.LAST_SENTENCE)
         view.strikes += 1
         view.until = now + sentence * (0.75 + 0.5 * self.chance.draw())
