The window of a tagged invocation counts from the first of several copies

Cause: after a first push that never ran, the window started anew from the copy beside it. Test: the window counts from the first of several copies.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -207,3 +207,16 @@
     bench.end("c", 0, Outcome.TIMED_OUT)
     bench.advance(10.0)
     assert len(bench.come("d").pushes) == 1, "the backend stayed out for good"
+
+
+def test_the_window_counts_from_the_first_of_several_copies() -> None:
+    """Guards against a window that starts anew when the first copy turns out never to have run."""
+    bench = Bench()
+    bench.list([entry(n) for n in range(0, 12, 2)])
+    account = bench.come("a", "book")
+    while len(account.pushes) < 2:
+        bench.advance(0.02)
+    bench.end("a", 0, Outcome.UNREACHABLE)
+    bench.advance(0.31 - (bench.now - account.pushes[0][1]))
+    bench.end("a", 1, Outcome.ERRED)
+    assert len(account.pushes) == 2 and account.final == "terminated"
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -551,13 +551,16 @@
 
     __slots__ = (
         "inv", "offering", "cut_off", "cost", "pushes", "open", "answered", "moving",
-        "look_at", "over_share",
+        "look_at", "over_share", "first",
     )  # fmt: skip
 
     def __init__(self, inv: Invocation, offering: Offering, cost: float, now: float) -> None:
         self.inv, self.offering, self.cost = inv, offering, cost
         self.cut_off = now + inv.time_left
         self.pushes: list[Push] = []
+        # The push that a tagged one's group and window count from. Guards against a window that starts anew
+        # when this push turns out never to have run while a copy sent beside it may have (incident i8af787).
+        self.first: Push | None = None
         self.open = 0
         self.answered = False
         self.over_share = False
@@ -707,16 +710,14 @@
             return False
         if len(live.pushes) >= self.limits.max_pushes or (live.open and not self.limits.second_copies):
             return False
-        if live.offering.kind is not Kind.REPEATABLE:
-            first = next((push for push in live.pushes if push.may_have_run), None)
-            if first is not None:
-                if live.offering.kind is Kind.ONCE_ONLY:
-                    return False
-                group = live.offering.group
-                if backend.group(group) != first.backend.group(group):
-                    return False
-                if now >= first.sent + live.offering.window - self.LAST_MOMENT:
-                    return False
+        if live.offering.kind is not Kind.REPEATABLE and any(push.may_have_run for push in live.pushes):
+            if live.offering.kind is Kind.ONCE_ONLY:
+                return False
+            group = live.offering.group
+            if backend.group(group) != live.first.backend.group(group):
+                return False
+            if now >= live.first.sent + live.offering.window - self.LAST_MOMENT:
+                return False
         return backend.ramp_start is None or self._cold_budget_left(backend, live.cost, now)
 
     def may_nack(self, live: Live) -> bool:
@@ -752,6 +753,8 @@
         view = self.health.view(backend)
         push = Push(backend, now, live.cost, view.work)
         number = len(live.pushes)
+        if not any(earlier.may_have_run for earlier in live.pushes):
+            live.first = push
         live.pushes.append(push)
         live.open += 1
         self.out += 1
