--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -243,11 +243,35 @@
         return self.outcome is None or not self.outcome.never_ran
 
 
+class Pace:
+    """How long answers took against what was expected of them."""
+
+    __slots__ = ("took", "expected", "learned")
+
+    def __init__(self, span: float) -> None:
+        self.took, self.expected = Fading(span), Fading(span)
+        self.learned = 0.0
+
+    def learn(self, took: float, expected: float, now: float) -> None:
+        self.took.add(took, now)
+        self.expected.add(expected, now)
+        self.learned = now
+
+    def slowness(self, weight: float, prior: float, now: float) -> float:
+        """The ratio, with a prior that weighs this many seconds.
+
+        It goes back to the prior with time. Guards against a standstill: where nothing is pushed nothing is
+        learned, and a crowd long gone would keep everything else away.
+        """
+        ratio = (self.took.read(now) + weight * prior) / (self.expected.read(now) + weight)
+        return prior + (ratio - prior) * exp((self.learned - now) / self.took.span)
+
+
 class View:
     """What this node has seen of one backend."""
 
     __slots__ = (
-        "open", "work", "answered", "learned", "took", "expected", "fine", "erred", "signs",
+        "open", "work", "answered", "pace", "fine", "erred", "signs",
         "full_until", "fulls", "cause", "since", "until", "strikes", "trial", "cold",
     )  # fmt: skip
 
@@ -255,8 +279,7 @@
         self.open: dict[tuple[str, int], Push] = {}
         self.work = 0.0  # expected cost of what is in flight
         self.answered = 0.0  # when it last gave any sign of life
-        self.learned = 0.0  # when a push last told how slow it is
-        self.took, self.expected = Fading(Health.MEMORY), Fading(Health.MEMORY)
+        self.pace = Pace(Health.MEMORY)
         self.fine, self.erred = Fading(Health.MEMORY), Fading(Health.MEMORY)
         self.signs = 0  # of a dead process, since the last completed push
         self.fulls, self.full_until = 0, 0.0
@@ -270,12 +293,6 @@
         """For how long pushes have waited without any sign of life."""
         return now - max(self.answered, next(iter(self.open.values())).sent) if self.open else 0.0
 
-    def learn(self, took: float, expected: float, now: float) -> None:
-        self.took.add(took, now)
-        self.expected.add(expected, now)
-        self.learned = now
-
-
 class Health:
     """Tells a backend's troubles apart by what comes back from it and what does not.
 
@@ -285,6 +302,7 @@
     """
 
     MEMORY = 4.0  # seconds: dozens of answers at ten a second, and a trouble is forgotten within ten
+    PRIOR = 2.0  # answers that what is known beforehand counts for
     SILENCE = 0.35  # seconds; longer than a collector's pause, shorter than any client waits
     TOO_MANY_ERRORS = 0.25  # well above what sound backends err, below what hurts more than a lost backend
     FIRST_SENTENCE = 1.0  # seconds until the first trial; doubles up to the last
@@ -293,10 +311,21 @@
     def __init__(self, chance: Chance, log: Callable[[str], None]) -> None:
         self.chance, self.log = chance, log
         self.views: dict[str, View] = {}
+        self.zones: dict[str, Pace] = {}
         self.units: dict[str, tuple[Fading, Fading]] = {}
         self.ejected = 0
         self.slowest = self.slowest_at = 0.0
 
+    def zone(self, backend: Backend) -> Pace:
+        pace = self.zones.get(backend.zone)
+        if pace is None:
+            pace = self.zones[backend.zone] = Pace(self.MEMORY)
+        return pace
+
+    def _learn(self, push: Push, took: float, expected: float, now: float) -> None:
+        self.view(push.backend).pace.learn(took, expected, now)
+        self.zone(push.backend).learn(took, expected, now)
+
     def view(self, backend: Backend) -> View:
         view = self.views.get(backend.id)
         if view is None:
@@ -314,17 +343,19 @@
         guess = weight if hint else offering.target_time / 5.0
         return (sums[0].read(now) + guess) / (sums[1].read(now) + weight) * (hint or 1.0)
 
-    def slowness(self, view: View, cost: float, now: float) -> float:
-        """How many times longer than expected this backend's answers have lately taken."""
-        slowness = (view.took.read(now) + 2.0 * cost) / (view.expected.read(now) + 2.0 * cost)
-        # Guards against a standstill: where nothing is pushed nothing is learned, and a crowd long gone would
-        # keep everything else away.
-        return 1.0 + (slowness - 1.0) * exp((view.learned - now) / self.MEMORY)
+    def slowness(self, zone: Pace, own: Pace, cost: float, now: float) -> float:
+        """How many times longer than expected a backend's answers have lately taken.
+
+        Where little has come from the backend itself, what came from its whole zone counts: a node that sees
+        a trickle learns that its zone is crowded long before it has met each backend there.
+        """
+        prior = max(zone.slowness(self.PRIOR * cost, 1.0, now), 1.0)
+        return own.slowness(self.PRIOR * cost, prior, now)
 
     def wait(self, backend: Backend, cost: float, now: float) -> float:
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
         view = self.view(backend)
-        slowness = self.slowness(view, cost, now)
+        slowness = self.slowness(self.zone(backend), view.pace, cost, now)
         wait = max(slowness * (view.work + cost), view.silent(now))
         errors = view.erred.read(now)
         if errors > 0.01:
@@ -362,8 +393,8 @@
             view.fine.add(1.0, now)
             if took > self.longest(now):
                 self.slowest, self.slowest_at = took, now
-            slowness = max(1.0, self.slowness(view, push.cost, now))
-            view.learn(took, push.ahead + push.cost, now)
+            slowness = max(1.0, self.slowness(self.zone(push.backend), view.pace, push.cost, now))
+            self._learn(push, took, push.ahead + push.cost, now)
             if push.ahead < 0.1 * push.cost:
                 busy, count = self.units[offering.name]
                 # Guards against a crowd passing for costly work: other nodes' pushes wait there unseen.
@@ -387,7 +418,7 @@
                 self._eject(push.backend, view, "dead", now)
         elif outcome is Outcome.TIMED_OUT or outcome is Outcome.CANCELLED:
             # What was given up on says at least this much about how long the backend takes.
-            view.learn(took, min(push.ahead + push.cost, took), now)
+            self._learn(push, took, min(push.ahead + push.cost, took), now)
         return ""
 
     def look(self, backends: list[Backend], now: float) -> None:
@@ -441,7 +472,7 @@
         cause, view.cause = view.cause, ""
         self.ejected -= 1
         view.signs = 0
-        view.took.sum = view.expected.sum = view.erred.sum = 0.0
+        view.pace.took.sum = view.pace.expected.sum = view.erred.sum = 0.0
         self.log(f"readmitted {backend.id}: was {cause}")
         return cause
 
