--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -107,6 +107,7 @@
         self.ramp = ramp
         self.grace_until = now + self.GRACE
         self.known: dict[str, Backend] = {}
+        self.usable: list[Backend] = []  # sorted by id
         self.baseline = False
 
     def on_list(self, kind: ListKind, entries: Iterable[Entry], now: float) -> None:
@@ -122,9 +123,7 @@
                 if backend.id not in seen:
                     self._leave(backend, now)
         self.baseline = True
-
-    def usable(self) -> list[Backend]:
-        return [self.known[id] for id in sorted(self.known) if self.known[id].usable]
+        self.usable = [self.known[id] for id in sorted(self.known) if self.known[id].usable]
 
     def back(self, backend: Backend, away_since: float, restarted: bool, now: float) -> None:
         """A backend that the health view kept out is pickable again."""
@@ -212,7 +211,8 @@
         choice: Seat | None = None
         spare: Seat | None = None
         best = 0.0
-        for seat in sorted(self.seats, key=lambda seat: seat.turn):
+        self.seats.sort(key=lambda seat: seat.turn)
+        for seat in self.seats:
             if not allowed(seat.backend):
                 continue
             if seat.ramping and seat.turn > self.clock:
@@ -250,7 +250,7 @@
 
     def __init__(self, span: float) -> None:
         self.took, self.expected = Fading(span), Fading(span)
-        self.learned = 0.0
+        self.learned = -100.0 * span
 
     def learn(self, took: float, expected: float, now: float) -> None:
         self.took.add(took, now)
@@ -263,6 +263,8 @@
         It goes back to the prior with time. Guards against a standstill: where nothing is pushed nothing is
         learned, and a crowd long gone would keep everything else away.
         """
+        if now - self.learned > 5.0 * self.took.span:
+            return prior
         ratio = (self.took.read(now) + weight * prior) / (self.expected.read(now) + weight)
         return prior + (ratio - prior) * exp((self.learned - now) / self.took.span)
 
@@ -356,8 +358,10 @@
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
         view = self.view(backend)
         slowness = self.slowness(self.zone(backend), view.pace, cost, now)
-        wait = max(slowness * (view.work + cost), view.silent(now))
-        errors = view.erred.read(now)
+        wait = slowness * (view.work + cost)
+        if view.open:
+            wait = max(wait, view.silent(now))
+        errors = view.erred.read(now) if view.erred.sum > 0.01 else 0.0
         if errors > 0.01:
             # An erring backend answers fast and would draw the traffic; an error costs a further push.
             wait += 0.5 * errors / (errors + view.fine.read(now) + 1.0)
@@ -665,7 +669,7 @@
         self.watch_wait = 0.0
         self.out = 0  # pushes that have not ended
         host.set_timer(self.INTERVAL * self.chance.draw(), "interval")
-        host.set_timer(self.SWEEP, "sweep")
+        self.sweeping = False
         if must_ask_in:
             host.watch_list()
 
@@ -753,11 +757,13 @@
 
     def on_timer(self, now: float, name: str) -> None:
         if name == "sweep":
-            self.host.set_timer(self.SWEEP, "sweep")
+            self.sweeping = False
             self._sweep(now)
+            self._sweep_soon()
         elif name == "interval":
             self.host.set_timer(self.INTERVAL, "interval")
             self._rebuild(now)
+            self._probe(now)
         elif name == "watch":
             self.host.watch_list()
 
@@ -827,6 +833,7 @@
         if view.cause:
             view.trial = True
         self.host.push(live.inv.id, backend.id, live.cut_off - now)
+        self._sweep_soon()
 
     def _pick(self, live: Live, now: float) -> Backend | None:
         tried = {push.backend.id for push in live.pushes}
@@ -887,11 +894,20 @@
         if live.answered and not live.open:
             self.live.pop(live.inv.id, None)
 
+    def _sweep_soon(self) -> None:
+        """Idle nodes sleep: with hundreds of them the looks at nothing would cost more than the decisions."""
+        if self.out and not self.sweeping:
+            self.sweeping = True
+            self.host.set_timer(self.SWEEP, "sweep")
+
     def _sweep(self, now: float) -> None:
         self.health.look([seat.backend for seat in self.rotation.seats], now)
         for live in list(self.live.values()):
             if now >= live.look_at and live.open == 1 and not live.answered and not live.moving:
                 self._look_again(live, now)
+        self._probe(now)
+
+    def _probe(self, now: float) -> None:
         if self.limits.probes and self.health.ejected:
             for seat in self.rotation.seats:
                 view = self.health.view(seat.backend)
@@ -921,7 +937,7 @@
         self._rebuild(now)
 
     def _rebuild(self, now: float) -> None:
-        backends = self.roster.usable()
+        backends = self.roster.usable
         for backend in backends:
             if backend.ramp_start is not None and now - backend.ramp_start >= self.ramp.length:
                 backend.ramp_start = None
