--- a/tests/harness.py
+++ b/tests/harness.py
@@ -60,7 +60,7 @@
         self.copies = copies
         limits = Limits(max_pushes=4, second_copies=copies, cancelling=True, probes=probes, come_back=0.5)
         self.node = decide.Node(
-            self, seed=seed, now=self.now, zone="x", nodes=nodes, offerings=OFFERINGS,
+            self, seed=seed, now=self.now, zone="x", rank=1, nodes=nodes, offerings=OFFERINGS,
             tenants=[Tenant("t", 0.5, 100.0), Tenant("u", 0.5, 100.0)],
             over_share_worth=0.1, utility_by_work=True, limits=limits,
             cold=COLD, must_ask_in=10.0,
--- a/thornladder/adapter/wire.py
+++ b/thornladder/adapter/wire.py
@@ -130,6 +130,7 @@
         raise Malformed("Classes must not be empty")
     return {
         "zone": take(info, "Az", str, ""),
+        "rank": take(info, "Rank", int, 0),
         "nodes": max(1, take(info, "ReplicasOfMe", int)),
         "offerings": [_offering(line) for line in info["Classes"]],
         "tenants": [_tenant(line) for line in take(info, "Tenants", list, [])],
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -158,6 +158,34 @@
             backend.usable, backend.absent_since = False, now
 
 
+class Part:
+    """Every n-th backend of the sorted list, from a start of the node's own, for a node that sees a trickle.
+
+    A node that met each of its backends once in a minute would know nothing of any and reuse no connection.
+    """
+
+    SEEN = 4.0  # seconds in which each backend is met once on the mean: as long as Health remembers
+    LEAST = 8  # backends, so that losing a few at once leaves a choice
+
+    def __init__(self, rank: int) -> None:
+        self.rank, self.step = rank, 1
+
+    def of(self, backends: list[Backend], rate: float, sound: Callable[[Backend], bool]) -> list[Backend]:
+        """The step doubles and halves, so a smaller part lies within the larger; with some slack between."""
+        wanted = max(rate * self.SEEN, self.LEAST)
+        while len(backends) >= 2.5 * self.step * wanted:
+            self.step *= 2
+        while self.step > 1 and len(backends) < 0.8 * self.step * wanted:
+            self.step //= 2
+        step = self.step
+        part = backends[self.rank % step :: step]
+        while step > 1 and sum(map(sound, part)) < 0.5 * self.LEAST:
+            # Guards against a part of which most is lost at once: more of the fleet is used until it is back.
+            step //= 2
+            part = backends[self.rank % step :: step]
+        return part
+
+
 class Seat:
     """A backend's place in the rotation."""
 
@@ -371,9 +399,11 @@
         """The longest that any answer took lately: one heavy invocation keeps a backend silent that long."""
         return self.slowest * exp((self.slowest_at - now) / 10.0)
 
-    def pickable(self, backend: Backend, now: float) -> bool:
+    def pickable(self, backend: Backend, now: float, crowded: bool = False) -> bool:
         view = self.views.get(backend.id)
-        return view is None or (not view.cause and now >= view.full_until)
+        if view is None or (not view.cause and now >= view.full_until):
+            return True
+        return crowded and view.cause not in ("", "dead")
 
     def sent(self, key: tuple[str, int], push: Push) -> None:
         view = self.view(push.backend)
@@ -449,13 +479,13 @@
         view = self.views.get(backend.id)
         return view is not None and view.cause != "" and now >= view.until and not view.trial
 
-    def crowded_out(self, backend: Backend, usable: int) -> bool:
+    def crowded_out(self, backends: list[Backend]) -> bool:
         """Whether so many are ejected that there must be another reason; then all but the dead are used.
 
         Nothing is gained from a process that takes no connections, however many are gone: with half of a
         fleet dead, pushes to them would use up every budget.
         """
-        return self.ejected * 2 > usable and self.views[backend.id].cause not in ("", "dead")
+        return bool(self.ejected) and 2 * sum(self.view(b).cause != "" for b in backends) > len(backends)
 
     def _eject(self, backend: Backend, view: View, cause: str, now: float) -> None:
         if not view.cause:
@@ -520,10 +550,13 @@
         """Backends to each node; and how far to look back, which a trickle makes longer."""
         self.fair = fair
         self.room = self.room or self.FIRST_ROOM * fair
-        arrived = self.arrivals.read(now)
-        self.span = self.FEW * self.LONGEST / max(arrived, self.FEW)
+        self.span = min(self.FEW / max(self.rate(now), 1e-6), self.LONGEST)
         self.ends.span = self.lates.span = max(self.span, 0.5)
 
+    def rate(self, now: float) -> float:
+        """Invocations a second at this node; too few until it has run for some seconds."""
+        return self.arrivals.read(now) / self.LONGEST
+
     def level(self, out: int, now: float) -> float:
         """How many pushes were out on the mean of the span; `out` of them since the last call.
 
@@ -645,6 +678,7 @@
         seed: int,
         now: float,
         zone: str,
+        rank: int,
         nodes: int,
         offerings: list[Offering],
         tenants: list[Tenant],
@@ -661,6 +695,7 @@
         self.chance = Chance(seed)
         self.ramp = Ramp(cold.warm_up, cold.share)
         self.roster = Roster(self.ramp, now)
+        self.part = Part(rank)
         self.rotation = Rotation(self.chance)
         self.health = Health(self.chance, host.log)
         self.admission = Admission(tenants, over_share_worth, nodes, top, utility_by_work)
@@ -837,12 +872,12 @@
 
     def _pick(self, live: Live, now: float) -> Backend | None:
         tried = {push.backend.id for push in live.pushes}
-        usable = len(self.rotation.seats)
+        crowded = self.health.crowded_out([seat.backend for seat in self.rotation.seats])
 
         def allowed(backend: Backend) -> bool:
             if backend.id in tried:
                 return False
-            if not self.health.pickable(backend, now) and not self.health.crowded_out(backend, usable):
+            if not self.health.pickable(backend, now, crowded):
                 return False
             return self.may_push(live, backend, now)
 
@@ -937,9 +972,12 @@
         self._rebuild(now)
 
     def _rebuild(self, now: float) -> None:
-        backends = self.roster.usable
-        for backend in backends:
+        everyone = self.roster.usable
+        backends = self.part.of(
+            everyone, self.admission.rate(now), lambda backend: self.health.pickable(backend, now)
+        )
+        for backend in everyone:
             if backend.ramp_start is not None and now - backend.ramp_start >= self.ramp.length:
                 backend.ramp_start = None
         self.rotation.rebuild(backends, lambda backend: self.ramp.ratio(backend, now))
-        self.admission.sized(len(backends) / self.nodes, now)
+        self.admission.sized(len(everyone) / self.nodes, now)
