--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -332,6 +332,8 @@
     """
 
     MEMORY = 4.0  # seconds: dozens of answers at ten a second, and a trouble is forgotten within ten
+    ANSWERS = 3.0  # of a backend, that memory holds at least: one alone may have been a heavy invocation …
+    LONGEST = 16.0  # … but seconds at most, about as long as a trouble lasts
     PRIOR = 2.0  # answers that what is known beforehand counts for
     SILENCE = 0.35  # seconds; longer than a collector's pause, shorter than any client waits
     TOO_MANY_ERRORS = 0.25  # well above what sound backends err, below what hurts more than a lost backend
@@ -346,6 +348,14 @@
         self.ejected = 0
         self.slowest = self.slowest_at = 0.0
 
+    def remember(self, backends: list[Backend], rate: float) -> None:
+        """Under a trickle what came from a backend is kept longer, or there would be next to nothing."""
+        span = min(max(self.MEMORY, self.ANSWERS * len(backends) / max(rate, 1e-6)), self.LONGEST)
+        for backend in backends:
+            view = self.view(backend)
+            for measure in (view.pace.took, view.pace.expected, view.fine, view.erred):
+                measure.span = span
+
     def zone(self, backend: Backend) -> Pace:
         pace = self.zones.get(backend.zone)
         if pace is None:
@@ -972,10 +982,9 @@
         self._rebuild(now)
 
     def _rebuild(self, now: float) -> None:
-        everyone = self.roster.usable
-        backends = self.part.of(
-            everyone, self.admission.rate(now), lambda backend: self.health.pickable(backend, now)
-        )
+        everyone, rate = self.roster.usable, self.admission.rate(now)
+        backends = self.part.of(everyone, rate, lambda backend: self.health.pickable(backend, now))
+        self.health.remember(backends, rate)
         for backend in everyone:
             if backend.ramp_start is not None and now - backend.ramp_start >= self.ramp.length:
                 backend.ramp_start = None
