--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -532,6 +532,7 @@
     # so that a flood of next to no utility leaves room for the least that is worth something
     LATE = 0.3  # of the target time: later than that, queues already slow backends down (incident if777b3)
     MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
+    CROWDED = 0.15  # half of that: from here on second copies only add to the crowd
     PAUSE = 0.2  # of the span looked back on, between two cuts, so that each cut is seen before the next
     LEAST_ROOM = 0.25  # pushes for each backend: less and nothing more would be learned
     FEW = 16.0  # invocations: a span that sees fewer says nothing of how many pushes are out or late
@@ -611,6 +612,10 @@
         # Its own cost is no sign of crowding: a heavy invocation is not to be turned away for being heavy.
         return wait - live.cost > limit * live.offering.target_time
 
+    def crowded(self, now: float) -> bool:
+        """Guards against copies that make a crowd worse: what is late everywhere is no quicker elsewhere."""
+        return self.lates.read(now) > self.CROWDED * (self.ends.read(now) + 1.0)
+
     def ended(self, late: bool, out: int, now: float) -> None:
         """Learn from a push's end how many pushes this node may have out: more while answers are in time.
 
@@ -969,6 +974,8 @@
         if not self.retries.allows(live):
             return
         if self.limits.second_copies and live.offering.kind is not Kind.ONCE_ONLY:
+            if self.admission.crowded(now):
+                return
             backend = self._pick(live, now)
             if backend is not None:
                 self.retries.spend()
