Many nodes keep a cold backend's budget together; a blind node stops when deemed told

Cause (found by reading, shown by a test with 300 nodes): each node's first push to a cold backend in a span passed, whatever its part. Turns of ramping seats are now thinned by chance when what is left carries the traffic of much more, and out of turn a node whose part is under one push takes its chance so often that all together keep to it. MustAskIn is checked in may_push.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -131,6 +131,8 @@
             self.places[line.backend] = line
             (self.listed.add if line.state is State.RUNNING else self.listed.discard)(line.backend)
         self.node.on_list(self.now, kind, entries)
+        if kind is ListKind.RESTORED:
+            self.node.on_list(self.now, ListKind.CHANGES, [])  # the watch stands
 
     def come(
         self, id: str, name: str = "look", left: float | None = None, hint: float = 0.0, tenant: str = "t"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -247,3 +247,43 @@
         over += bench.node.live[f"i{step}"].over_share
         bench.complete_all()
     assert over < 45
+
+
+@pytest.mark.parametrize("burst", [False, True])
+def test_many_nodes_together_do_not_push_a_cold_backend_over(burst: bool) -> None:
+    """Guards against each node's first push passing for free: 300 nodes, and one cold backend is left."""
+    rng, benches, reached = random.Random(7), [Bench(seed, nodes=300) for seed in range(300)], []
+    for bench in benches:
+        bench.list([entry(n) for n in range(6)], ListKind.RESTORED)
+        bench.advance(8.0)
+        bench.list([entry(9)] + [entry(n, State.GONE) for n in range(6)], ListKind.CHANGES)
+    start = benches[0].now
+    for step in range(30):
+        for bench in benches:
+            if burst and step % 10 == 0 and rng.random() < 0.5 or not burst and rng.random() < 0.047:
+                account = bench.come(f"i{step}", hint=0.03)
+                reached += [(bench.now, 0.03)] * len(account.pushes)
+                bench.advance(0.04)
+                bench.complete_all(0.01)
+            bench.advance(start + 0.1 * (step + 1) - bench.now)
+    assert len(reached) > 3
+    for when, _ in reached:
+        window = sum(cost for other, cost in reached if when <= other < when + COLD.span)
+        assert window <= COLD.multiple * COLD.share * COLD.span, (when, window)
+
+
+def test_a_node_that_hears_no_list_stops_when_it_is_deemed_told() -> None:
+    bench = Bench()
+    bench.list([entry(n) for n in range(3)], ListKind.RESTORED)
+    bench.node.on_list(bench.now, ListKind.UNAVAILABLE, [])
+    bench.advance(9.0)
+    assert bench.come("a").pushes
+    bench.complete_all()
+    bench.advance(9.0)  # asked again meanwhile, and no answer at all
+    bench.node.on_list(bench.now, ListKind.UNAVAILABLE, [])
+    assert bench.come("b").pushes, "after a failed call the rule waits four times as long"
+    bench.complete_all()
+    bench.advance(40.0)
+    assert bench.come("c").final == "nacked"
+    bench.list([entry(1)])
+    assert bench.come("d").pushes
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -200,13 +200,18 @@
 
     CLEARLY = 0.75  # a choice yields only to a wait this much shorter; the rotation decides among near equals
 
-    def __init__(self, chance: Chance) -> None:
+    USUAL = 0.97  # of the weights in use a second ago are still remembered: half a minute, a trouble's length
+
+    def __init__(self, chance: Chance, bears: float) -> None:
         self.chance = chance
+        self.bears = bears  # what part of its capacity a cold backend may be sent
+        self.usual = 0.0  # the weights that have lately carried the traffic
+        self.surge = 0.0  # how many times its part of them a ramping seat's turns would bring; 1 is bearable
         self.clock = 0.0  # rounds gone by
         self.total = 1
         self.seats: list[Seat] = []
 
-    def rebuild(self, backends: list[Backend], ratio: Callable[[Backend], float]) -> None:
+    def rebuild(self, backends: list[Backend], ratio: Callable[[Backend], float], part: float = 1.0) -> None:
         """Rescale the weights, largest 100; mature seats start anew, ramping ones keep what is unspent.
 
         A ramping seat that started over at each rebuild would never come to its turn under a trickle.
@@ -228,28 +233,41 @@
                 wait = self.chance.draw()
             self.seats.append(Seat(backend, weight, self.clock + wait / weight, share < 1.0))
         self.total = sum(seat.weight for seat in self.seats) or 1
+        # Guards against turns that come the faster the fewer others are left: when most of the fleet is lost
+        # or new, the cold ones would be sent what all have carried.
+        whole = sum(100.0 * listed / largest for listed in given)
+        self.usual = max(self.USUAL * self.usual, whole / part)
+        self.surge = self.usual * part / self.total / self.bears
 
-    def pick(self, allowed: Callable[[Backend], bool], wait: Callable[[Backend], float]) -> Backend | None:
+    def pick(
+        self,
+        allowed: Callable[[Backend], bool],
+        wait: Callable[[Backend], float],
+        out_of_turn: Callable[[Backend], bool],
+    ) -> Backend | None:
         """The next seat in turn, or one of those after it where less is in flight; spends the turn taken.
 
         A ramping seat takes a push only when its own turn has come, whoever yields to it. If nobody else is
-        allowed, the ramping seat that comes up first is taken.
+        allowed, the first ramping seat that may take one out of turn is taken.
         """
         self.clock += 1.0 / self.total
         choice: Seat | None = None
-        spare: Seat | None = None
+        spares: list[Seat] = []
         best = 0.0
         self.seats.sort(key=lambda seat: seat.turn)
         for seat in self.seats:
             if not allowed(seat.backend):
                 continue
             if seat.ramping and seat.turn > self.clock:
-                spare = spare or seat
+                spares.append(seat)
+                continue
+            if seat.ramping and self.surge > 1.0 and self.chance.draw() * self.surge >= 1.0:
+                seat.turn = self.clock + 1.0 / seat.weight
                 continue
             expected = wait(seat.backend)
             if choice is None or expected < self.CLEARLY * best:
                 choice, best = seat, expected
-        choice = choice or spare
+        choice = choice or next((seat for seat in spares if out_of_turn(seat.backend)), None)
         if choice is None:
             return None
         # A seat that yielded keeps its turn, but never more than one: no burst when it is free again.
@@ -711,7 +729,9 @@
         self.ramp = Ramp(cold.warm_up, cold.share)
         self.roster = Roster(self.ramp, now)
         self.part = Part(rank)
-        self.rotation = Rotation(self.chance)
+        # The ramp runs at up to twice the surest capacity, a fleet that carries its load at two thirds of its
+        # own: half of the multiple costs much in a release.
+        self.rotation = Rotation(self.chance, 0.75 * cold.multiple)
         self.health = Health(self.chance, host.log)
         self.admission = Admission(tenants, over_share_worth, nodes, top, utility_by_work)
         self.retries = Retries(limits.max_pushes, top)
@@ -720,8 +740,9 @@
         self.out = 0  # pushes that have not ended
         host.set_timer(self.INTERVAL * self.chance.draw(), "interval")
         self.sweeping = False
+        self.blind_at = float("inf")  # from then on this node is deemed told of what it has not heard
         if must_ask_in:
-            host.watch_list()
+            self._watch(now)
 
     # What can happen.
 
@@ -730,9 +751,11 @@
             # Spread out, or all nodes call a struggling list service in step; always well before MustAskIn.
             self.watch_wait = min(max(2.0 * self.watch_wait, 0.25), 2.0, self.must_ask_in / 4.0 or 2.0)
             self.host.set_timer(self.watch_wait * (0.5 + self.chance.draw()), "watch")
+            # A watch that breaks off leaves MustAskIn; a failed call four times that from when it was made.
+            self.blind_at = now + self.must_ask_in * (1.0 if self.blind_at == float("inf") else 3.0)
             return
         if kind is not ListKind.RESTORED:
-            self.watch_wait = 0.0
+            self.watch_wait, self.blind_at = 0.0, float("inf")
         self.roster.on_list(kind, entries, now)
         self._rebuild(now)
 
@@ -815,7 +838,7 @@
             self._rebuild(now)
             self._probe(now)
         elif name == "watch":
-            self.host.watch_list()
+            self._watch(now)
 
     # The two gates.
 
@@ -823,6 +846,8 @@
         """Whether the rules let this invocation go to this backend now."""
         if live.answered or now >= live.cut_off - self.LAST_MOMENT or not backend.usable:
             return False
+        if now >= self.blind_at:
+            return False  # what has drained meanwhile is not known, and deemed told
         if len(live.pushes) >= self.limits.max_pushes or (live.open and not self.limits.second_copies):
             return False
         if live.offering.kind is not Kind.REPEATABLE and any(push.may_have_run for push in live.pushes):
@@ -845,22 +870,39 @@
             return True
         return live.offering.kind is Kind.TAGGED and live.offering.group == "all"
 
+    def _cold_rate(self, backend: Backend, now: float) -> float:
+        """This node's part of the work a second that a cold backend bears."""
+        largest = max((seat.backend.weight or 1.0 for seat in self.rotation.seats), default=1.0) or 1.0
+        size = 1.0 if backend.weight is None else min(1.0, (backend.weight or largest) / largest)
+        # Half, since costs scatter and the ramp may run at up to twice the surest capacity.
+        return 0.5 * self.cold.multiple * self.ramp.ratio(backend, now) * size / self.nodes
+
     def _cold_budget_left(self, backend: Backend, cost: float, now: float) -> bool:
-        """This node's part of what a cold backend bears over any window of the rule's length."""
-        ratio = self.ramp.ratio(backend, now)
-        if ratio >= 1.0:
+        """Whether that part, over any window of the rule's length, has room for this or is yet unused."""
+        if self.ramp.ratio(backend, now) >= 1.0:
             return True
         sent = self.health.view(backend).cold
         while sent and sent[0][0] <= now - self.cold.span:
             sent.popleft()
-        largest = max((seat.backend.weight or 1.0 for seat in self.rotation.seats), default=1.0) or 1.0
-        size = min(1.0, (backend.weight or largest) / largest) if backend.weight is not None else 1.0
-        # Half, since costs scatter and the ramp may run at up to twice the surest capacity.
-        budget = 0.5 * self.cold.multiple * ratio * size * self.cold.span / self.nodes
-        return not sent or sum(spent for _, spent in sent) + cost <= budget
+        spent = sum(spent for _, spent in sent) + cost
+        return not sent or spent <= self._cold_rate(backend, now) * self.cold.span
+
+    def _out_of_turn(self, backend: Backend, cost: float, now: float) -> bool:
+        """Guards against hundreds of first pushes at once to a cold backend when the mature ones are lost.
+
+        Where a node's part is under one push, it takes its chance so often that all keep to it together.
+        """
+        part = self._cold_rate(backend, now)
+        if part * self.cold.span >= cost:
+            return True
+        return self.chance.draw() * cost * max(self.admission.rate(now), 1.0 / self.cold.span) < part
 
     # What a node does.
 
+    def _watch(self, now: float) -> None:
+        self.blind_at = now + self.must_ask_in
+        self.host.watch_list()
+
     def _push(self, live: Live, backend: Backend, now: float) -> None:
         if not self.may_push(live, backend, now):
             self._give_up(live, now)
@@ -901,7 +943,7 @@
         def wait(backend: Backend) -> float:
             return self.health.wait(backend, live.cost, now) + (afar if backend.zone != self.zone else 0.0)
 
-        return self.rotation.pick(allowed, wait)
+        return self.rotation.pick(allowed, wait, lambda backend: self._out_of_turn(backend, live.cost, now))
 
     def _trial(self, live: Live, now: float) -> Backend | None:
         """An ejected backend whose time is up gets one repeatable invocation, or first a probe."""
@@ -995,5 +1037,6 @@
         for backend in everyone:
             if backend.ramp_start is not None and now - backend.ramp_start >= self.ramp.length:
                 backend.ramp_start = None
-        self.rotation.rebuild(backends, lambda backend: self.ramp.ratio(backend, now))
+        part = len(backends) / max(len(everyone), 1)
+        self.rotation.rebuild(backends, lambda backend: self.ramp.ratio(backend, now), part or 1.0)
         self.admission.sized(len(everyone) / self.nodes, now)
