--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Callable, Iterable
 from math import exp, floor
 
@@ -43,8 +43,6 @@
 class Fading:
     """A sum in which what was added `span` seconds ago counts for 1/e of it."""
 
-    __slots__ = ("span", "sum", "at")
-
     def __init__(self, span: float) -> None:
         self.span, self.sum, self.at = span, 0.0, 0.0
 
@@ -61,8 +59,6 @@
 class Backend:
     """What the list says of one backend, and since when this node ramps it."""
 
-    __slots__ = ("id", "zone", "cell", "weight", "started_at", "usable", "ramp_start", "absent_since")
-
     def __init__(self, entry: Entry) -> None:
         self.id = entry.backend
         self.ramp_start: float | None = None  # None: mature
@@ -79,6 +75,9 @@
         return self.zone if group == "zone" else self.cell if group == "cell" else None
 
 
+Judge = Callable[[Backend], bool]
+
+
 class Ramp:
     """The curve by which a new backend's weight grows."""
 
@@ -127,11 +126,8 @@
 
     def back(self, backend: Backend, away_since: float, restarted: bool, now: float) -> None:
         """A backend that the health view kept out is pickable again."""
-        if (
-            restarted
-            and (backend.ramp_start is None or backend.ramp_start < away_since)
-            or now - away_since >= self.ramp.length
-        ):
+        newer = backend.ramp_start is not None and backend.ramp_start >= away_since
+        if restarted and not newer or now - away_since >= self.ramp.length:
             backend.ramp_start = now
 
     def _running(self, entry: Entry, now: float) -> None:
@@ -159,10 +155,8 @@
 
 
 class Part:
-    """Every n-th backend of the sorted list, from a start of the node's own, for a node that sees a trickle.
-
-    A node that met each of its backends once in a minute would know nothing of any and reuse no connection.
-    """
+    """Every n-th backend of the sorted list, from a start of the node's own, for a node that sees a trickle:
+    it would know nothing of backends that it met once in a minute, nor use a connection again."""
 
     SEEN = 4.0  # seconds in which each backend is met once on the mean: as long as Health remembers
     LEAST = 8  # backends, so that losing a few at once leaves a choice
@@ -170,7 +164,7 @@
     def __init__(self, rank: int) -> None:
         self.rank, self.step = rank, 1
 
-    def of(self, backends: list[Backend], rate: float, sound: Callable[[Backend], bool]) -> list[Backend]:
+    def of(self, backends: list[Backend], rate: float, sound: Judge) -> list[Backend]:
         """The step doubles and halves, so a smaller part lies within the larger; with some slack between."""
         wanted = max(rate * self.SEEN, self.LEAST)
         while len(backends) >= 2.5 * self.step * wanted:
@@ -189,8 +183,6 @@
 class Seat:
     """A backend's place in the rotation."""
 
-    __slots__ = ("backend", "weight", "turn", "ramping")
-
     def __init__(self, backend: Backend, weight: int, turn: float, ramping: bool) -> None:
         self.backend, self.weight, self.turn, self.ramping = backend, weight, turn, ramping
 
@@ -199,7 +191,6 @@
     """Weighted round robin: seats come up in the order of their next turn, one turn every 1/weight rounds."""
 
     CLEARLY = 0.75  # a choice yields only to a wait this much shorter; the rotation decides among near equals
-
     USUAL = 0.97  # of the weights in use a second ago are still remembered: half a minute, a trouble's length
 
     def __init__(self, chance: Chance, bears: float) -> None:
@@ -222,9 +213,8 @@
         self.seats = []
         for backend, listed in zip(backends, given, strict=True):
             share = ratio(backend)
-            weight = floor(100.0 * listed / largest * share + 1e-9)
-            weight = max(weight, 1) if listed > 0 else 0
-            if not weight:
+            weight = max(floor(100.0 * listed / largest * share + 1e-9), 1)
+            if listed <= 0:
                 continue
             old = before.get(backend.id)
             if share < 1.0 and old is not None and old.ramping:
@@ -239,16 +229,11 @@
         self.usual = max(self.USUAL * self.usual, whole / part)
         self.surge = self.usual * part / self.total / self.bears
 
-    def pick(
-        self,
-        allowed: Callable[[Backend], bool],
-        wait: Callable[[Backend], float],
-        out_of_turn: Callable[[Backend], bool],
-    ) -> Backend | None:
+    def pick(self, allowed: Judge, wait: Callable[[Backend], float], spare: Judge) -> Backend | None:
         """The next seat in turn, or one of those after it where less is in flight; spends the turn taken.
 
-        A ramping seat takes a push only when its own turn has come, whoever yields to it. If nobody else is
-        allowed, the first ramping seat that may take one out of turn is taken.
+        A ramping seat takes a push only in its own turn, whoever yields to it; or, if nobody else is allowed,
+        when it may take one out of turn.
         """
         self.clock += 1.0 / self.total
         choice: Seat | None = None
@@ -267,7 +252,7 @@
             expected = wait(seat.backend)
             if choice is None or expected < self.CLEARLY * best:
                 choice, best = seat, expected
-        choice = choice or next((seat for seat in spares if out_of_turn(seat.backend)), None)
+        choice = choice or next((seat for seat in spares if spare(seat.backend)), None)
         if choice is None:
             return None
         # A seat that yielded keeps its turn, but never more than one: no burst when it is free again.
@@ -278,22 +263,14 @@
 class Push:
     """One push of an invocation."""
 
-    __slots__ = ("backend", "sent", "cost", "ahead", "outcome")
-
     def __init__(self, backend: Backend, sent: float, cost: float, ahead: float) -> None:
         self.backend, self.sent, self.cost, self.ahead = backend, sent, cost, ahead
         self.outcome: Outcome | None = None
 
-    @property
-    def may_have_run(self) -> bool:
-        return self.outcome is None or not self.outcome.never_ran
-
 
 class Pace:
     """How long answers took against what was expected of them."""
 
-    __slots__ = ("took", "expected", "learned")
-
     def __init__(self, span: float) -> None:
         self.took, self.expected = Fading(span), Fading(span)
         self.learned = -100.0 * span
@@ -318,11 +295,6 @@
 class View:
     """What this node has seen of one backend."""
 
-    __slots__ = (
-        "open", "work", "answered", "pace", "fine", "erred", "signs",
-        "full_until", "fulls", "cause", "since", "until", "strikes", "trial", "cold",
-    )  # fmt: skip
-
     def __init__(self) -> None:
         self.open: dict[tuple[str, int], Push] = {}
         self.work = 0.0  # expected cost of what is in flight
@@ -333,14 +305,14 @@
         self.fulls, self.full_until = 0, 0.0
         self.cause = ""  # why it is ejected; empty if it is not
         self.since = self.until = 0.0
-        self.strikes = 0
-        self.trial = False
+        self.strikes, self.trial = 0, False
         self.cold: deque[tuple[float, float]] = deque()  # pushes while ramping: when, and expected cost
 
     def silent(self, now: float) -> float:
         """For how long pushes have waited without any sign of life."""
         return now - max(self.answered, next(iter(self.open.values())).sent) if self.open else 0.0
 
+
 class Health:
     """Tells a backend's troubles apart by what comes back from it and what does not.
 
@@ -360,9 +332,9 @@
 
     def __init__(self, chance: Chance, log: Callable[[str], None]) -> None:
         self.chance, self.log = chance, log
-        self.views: dict[str, View] = {}
-        self.zones: dict[str, Pace] = {}
-        self.units: dict[str, tuple[Fading, Fading]] = {}
+        self.views: defaultdict[str, View] = defaultdict(View)
+        self.zones = defaultdict(lambda: Pace(self.MEMORY))
+        self.units = defaultdict(lambda: (Fading(30.0), Fading(30.0)))
         self.ejected = 0
         self.slowest = self.slowest_at = 0.0
 
@@ -374,46 +346,34 @@
             for measure in (view.pace.took, view.pace.expected, view.fine, view.erred):
                 measure.span = span
 
-    def zone(self, backend: Backend) -> Pace:
-        pace = self.zones.get(backend.zone)
-        if pace is None:
-            pace = self.zones[backend.zone] = Pace(self.MEMORY)
-        return pace
-
     def _learn(self, push: Push, took: float, expected: float, now: float) -> None:
         self.view(push.backend).pace.learn(took, expected, now)
-        self.zone(push.backend).learn(took, expected, now)
+        self.zones[push.backend.zone].learn(took, expected, now)
 
     def view(self, backend: Backend) -> View:
-        view = self.views.get(backend.id)
-        if view is None:
-            view = self.views[backend.id] = View()
-        return view
+        return self.views[backend.id]
 
     def cost(self, offering: Offering, hint: float, now: float) -> float:
         """Seconds that an invocation keeps a typical backend busy, learned from pushes that found it idle."""
-        sums = self.units.get(offering.name)
-        if sums is None:
-            sums = self.units[offering.name] = (Fading(30.0), Fading(30.0))
+        sums = self.units[offering.name]
         # Until something is learned: an answer in a fifth of the target time, or as long as the hint says.
         # A ratio of sums: a mean of ratios is ruled by the lightest, whose answers cannot be any quicker.
         weight = offering.target_time if hint else 1.0
         guess = weight if hint else offering.target_time / 5.0
         return (sums[0].read(now) + guess) / (sums[1].read(now) + weight) * (hint or 1.0)
 
-    def slowness(self, zone: Pace, own: Pace, cost: float, now: float) -> float:
+    def slowness(self, backend: Backend, cost: float, now: float) -> float:
         """How many times longer than expected a backend's answers have lately taken.
 
-        Where little has come from the backend itself, what came from its whole zone counts: a node that sees
-        a trickle learns that its zone is crowded long before it has met each backend there.
+        Where little has come from it, its whole zone counts: a trickle meets a crowd before each backend.
         """
-        prior = max(zone.slowness(self.PRIOR * cost, 1.0, now), 1.0)
-        return own.slowness(self.PRIOR * cost, prior, now)
+        prior = max(self.zones[backend.zone].slowness(self.PRIOR * cost, 1.0, now), 1.0)
+        return self.view(backend).pace.slowness(self.PRIOR * cost, prior, now)
 
     def wait(self, backend: Backend, cost: float, now: float) -> float:
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
         view = self.view(backend)
-        slowness = self.slowness(self.zone(backend), view.pace, cost, now)
+        slowness = self.slowness(backend, cost, now)
         wait = slowness * (view.work + cost)
         if view.open:
             wait = max(wait, view.silent(now))
@@ -428,16 +388,11 @@
         return self.slowest * exp((self.slowest_at - now) / 10.0)
 
     def pickable(self, backend: Backend, now: float, crowded: bool = False) -> bool:
-        view = self.views.get(backend.id)
-        if view is None or (not view.cause and now >= view.full_until):
+        view = self.view(backend)
+        if not view.cause and now >= view.full_until:
             return True
         return crowded and view.cause not in ("", "dead")
 
-    def sent(self, key: tuple[str, int], push: Push) -> None:
-        view = self.view(push.backend)
-        view.open[key] = push
-        view.work += push.cost
-
     def ended(self, key: tuple[str, int], push: Push, offering: Offering, hint: float, now: float) -> str:
         """Take in an outcome; returns the cause that the backend was out for if this brings it back."""
         view = self.view(push.backend)
@@ -455,7 +410,7 @@
             view.fine.add(1.0, now)
             if took > self.longest(now):
                 self.slowest, self.slowest_at = took, now
-            slowness = max(1.0, self.slowness(self.zone(push.backend), view.pace, push.cost, now))
+            slowness = max(1.0, self.slowness(push.backend, push.cost, now))
             self._learn(push, took, push.ahead + push.cost, now)
             if push.ahead < 0.1 * push.cost:
                 busy, count = self.units[offering.name]
@@ -486,8 +441,8 @@
     def look(self, backends: list[Backend], now: float) -> None:
         """Eject what has gone silent with several pushes, or one very old one, unanswered."""
         for backend in backends:
-            view = self.views.get(backend.id)
-            if view is None or not view.open or view.cause:
+            view = self.view(backend)
+            if not view.open or view.cause:
                 continue
             usual = max(self.SILENCE, min(1.5 * self.longest(now), 3.0 * self.SILENCE))
             if view.silent(now) > usual * (1.0 if len(view.open) > 1 else 2.0):
@@ -496,22 +451,20 @@
     def probed(self, backend: Backend, outcome: Outcome, now: float) -> str:
         view = self.view(backend)
         view.trial = False
-        if not view.cause:
-            return ""
-        if outcome is Outcome.COMPLETED:
+        if view.cause and outcome is not Outcome.COMPLETED:
+            self._eject(backend, view, view.cause, now)
+        elif view.cause:
             return self._readmit(backend, view)
-        self._eject(backend, view, view.cause, now)
         return ""
 
     def trial_due(self, backend: Backend, now: float) -> bool:
-        view = self.views.get(backend.id)
-        return view is not None and view.cause != "" and now >= view.until and not view.trial
+        view = self.view(backend)
+        return view.cause != "" and now >= view.until and not view.trial
 
     def crowded_out(self, backends: list[Backend]) -> bool:
         """Whether so many are ejected that there must be another reason; then all but the dead are used.
 
-        Nothing is gained from a process that takes no connections, however many are gone: with half of a
-        fleet dead, pushes to them would use up every budget.
+        With half of a fleet dead, pushes to what takes no connections would use up every budget.
         """
         return bool(self.ejected) and 2 * sum(self.view(b).cause != "" for b in backends) > len(backends)
 
@@ -542,12 +495,9 @@
 class Admission:
     """Which invocations to turn away when answers would come too late, the least utility first."""
 
-    # An answer expected later than this part of the target time is refused to the least utility …
-    LOW = 0.25
-    # … and than this one to the most: beyond it an answer is likely to be late whatever it is for.
-    HIGH = 0.6
-    OPEN = 0.3  # the part of the room open to any utility; the rest opens up with the root of the rank,
-    # so that a flood of next to no utility leaves room for the least that is worth something
+    LOW = 0.25  # of the target time: an answer expected later than that is refused to the least utility …
+    HIGH = 0.6  # … and to the most: beyond it an answer is likely to be late whatever it is for
+    OPEN = 0.3  # of the room, to any utility: a flood worth next to nothing leaves room for the least worth
     LATE = 0.3  # of the target time: later than that, queues already slow backends down (incident if777b3)
     MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
     CROWDED = 0.15  # half of that: from here on second copies only add to the crowd
@@ -637,9 +587,8 @@
     def ended(self, late: bool, out: int, now: float) -> None:
         """Learn from a push's end how many pushes this node may have out: more while answers are in time.
 
-        Guards against the jam in which clients leave before their answers and the backends go on working for
-        nobody: the queue that causes it belongs to all nodes and none sees it but by answers being late.
-        `out` counts the push that ends: without it a small room was never half full and stayed small.
+        Guards against the jam in which clients leave before their answers and backends work for nobody: its
+        queue belongs to all nodes and shows to each by late answers alone. `out` counts the push that ends.
         """
         self.ends.add(1.0, now)
         self.lates.add(1.0 if late else 0.0, now)
@@ -677,11 +626,6 @@
 class Live:
     """An invocation in this node's hands."""
 
-    __slots__ = (
-        "inv", "offering", "cut_off", "cost", "pushes", "open", "answered", "moving",
-        "look_at", "over_share", "first",
-    )  # fmt: skip
-
     def __init__(self, inv: Invocation, offering: Offering, cost: float, now: float) -> None:
         self.inv, self.offering, self.cost = inv, offering, cost
         self.cut_off = now + inv.time_left
@@ -689,11 +633,13 @@
         # The push that a tagged one's group and window count from. Guards against a window that starts anew
         # when this push turns out never to have run while a copy sent beside it may have (incident i8af787).
         self.first: Push | None = None
-        self.open = 0
-        self.answered = False
-        self.over_share = False
+        self.open, self.look_at = 0, now
+        self.answered = self.over_share = False
         self.moving = False  # cancelled in order to be pushed elsewhere
-        self.look_at = now
+
+    @property
+    def may_have_run(self) -> bool:
+        return any(push.outcome is None or not push.outcome.never_ran for push in self.pushes)
 
 
 class Node:
@@ -705,22 +651,10 @@
     LAST_MOMENT = 0.005  # seconds; nothing can be answered in less
 
     def __init__(
-        self,
-        host: Host,
-        *,
-        seed: int,
-        now: float,
-        zone: str,
-        rank: int,
-        nodes: int,
-        offerings: list[Offering],
-        tenants: list[Tenant],
-        over_share_worth: float,
-        utility_by_work: bool,
-        limits: Limits,
-        cold: ColdRule,
-        must_ask_in: float,
-    ) -> None:
+        self, host: Host, *, seed: int, now: float, zone: str, rank: int, nodes: int,
+        offerings: list[Offering], tenants: list[Tenant], over_share_worth: float, utility_by_work: bool,
+        limits: Limits, cold: ColdRule, must_ask_in: float,
+    ) -> None:  # fmt: skip
         self.host, self.zone, self.nodes = host, zone, nodes
         self.limits, self.cold, self.must_ask_in = limits, cold, must_ask_in
         self.offerings = {offering.name: offering for offering in offerings}
@@ -752,7 +686,8 @@
             self.watch_wait = min(max(2.0 * self.watch_wait, 0.25), 2.0, self.must_ask_in / 4.0 or 2.0)
             self.host.set_timer(self.watch_wait * (0.5 + self.chance.draw()), "watch")
             # A watch that breaks off leaves MustAskIn; a failed call four times that from when it was made.
-            self.blind_at = now + self.must_ask_in * (1.0 if self.blind_at == float("inf") else 3.0)
+            if self.must_ask_in:
+                self.blind_at = now + self.must_ask_in * (1.0 if self.blind_at == float("inf") else 3.0)
             return
         if kind is not ListKind.RESTORED:
             self.watch_wait, self.blind_at = 0.0, float("inf")
@@ -772,20 +707,10 @@
                 self._give_up(live, now)
                 return
         # After admission: an ejected backend's own long wait is no reason to turn an invocation away.
-        backend = self._trial(live, now) or backend
-        if backend is None:
-            self._give_up(live, now)
-        else:
-            self._push(live, backend, now)
+        self._push(live, self._trial(live, now) or backend, now)
 
     def on_push_ended(
-        self,
-        now: float,
-        id: str,
-        number: int,
-        outcome: Outcome,
-        took: float,
-        last: bool,
+        self, now: float, id: str, number: int, outcome: Outcome, took: float, last: bool
     ) -> None:
         live = self.live.get(id)
         if live is None or number >= len(live.pushes) or live.pushes[number].outcome is not None:
@@ -799,8 +724,7 @@
         self.admission.level(self.out, now)
         self.out -= 1
         cause = self.health.ended((id, number), push, live.offering, live.inv.hint, now)
-        if cause:
-            self._readmitted(push.backend, cause, now)
+        self._readmitted(push.backend, cause, now)
         if last and not live.answered:
             live.answered = True
             self._cancel_rest(live)
@@ -810,9 +734,8 @@
 
     def on_answer_started(self, now: float, id: str, number: int) -> None:
         """From here on the push is the client's: it is neither looked at nor moved."""
-        live = self.live.get(id)
-        if live is not None:
-            live.look_at = float("inf")
+        if id in self.live:
+            self.live[id].look_at = float("inf")
 
     def on_client_gone(self, now: float, id: str) -> None:
         live = self.live.get(id)
@@ -824,9 +747,7 @@
     def on_probe_ended(self, now: float, backend_id: str, outcome: Outcome) -> None:
         backend = self.roster.known.get(backend_id)
         if backend is not None:
-            cause = self.health.probed(backend, outcome, now)
-            if cause:
-                self._readmitted(backend, cause, now)
+            self._readmitted(backend, self.health.probed(backend, outcome, now), now)
 
     def on_timer(self, now: float, name: str) -> None:
         if name == "sweep":
@@ -850,24 +771,18 @@
             return False  # what has drained meanwhile is not known, and deemed told
         if len(live.pushes) >= self.limits.max_pushes or (live.open and not self.limits.second_copies):
             return False
-        if live.offering.kind is not Kind.REPEATABLE and any(push.may_have_run for push in live.pushes):
-            if live.offering.kind is Kind.ONCE_ONLY:
+        if live.offering.kind is not Kind.REPEATABLE and live.may_have_run:
+            group, until = live.offering.group, live.first.sent + live.offering.window - self.LAST_MOMENT
+            if live.offering.kind is Kind.ONCE_ONLY or now >= until:
                 return False
-            group = live.offering.group
             if backend.group(group) != live.first.backend.group(group):
                 return False
-            if now >= live.first.sent + live.offering.window - self.LAST_MOMENT:
-                return False
         return backend.ramp_start is None or self._cold_budget_left(backend, live.cost, now)
 
     def may_nack(self, live: Live) -> bool:
         """Whether a nack, which tells the client that a repeat is harmless, would be true."""
-        if live.answered:
-            return False
-        if live.offering.kind is Kind.REPEATABLE:
-            return True
-        if not any(push.may_have_run for push in live.pushes):
-            return True
+        if live.answered or live.offering.kind is Kind.REPEATABLE or not live.may_have_run:
+            return not live.answered
         return live.offering.kind is Kind.TAGGED and live.offering.group == "all"
 
     def _cold_rate(self, backend: Backend, now: float) -> float:
@@ -879,8 +794,6 @@
 
     def _cold_budget_left(self, backend: Backend, cost: float, now: float) -> bool:
         """Whether that part, over any window of the rule's length, has room for this or is yet unused."""
-        if self.ramp.ratio(backend, now) >= 1.0:
-            return True
         sent = self.health.view(backend).cold
         while sent and sent[0][0] <= now - self.cold.span:
             sent.popleft()
@@ -903,14 +816,14 @@
         self.blind_at = now + self.must_ask_in
         self.host.watch_list()
 
-    def _push(self, live: Live, backend: Backend, now: float) -> None:
-        if not self.may_push(live, backend, now):
+    def _push(self, live: Live, backend: Backend | None, now: float) -> None:
+        if backend is None or not self.may_push(live, backend, now):
             self._give_up(live, now)
             return
         view = self.health.view(backend)
         push = Push(backend, now, live.cost, view.work)
         number = len(live.pushes)
-        if not any(earlier.may_have_run for earlier in live.pushes):
+        if not live.may_have_run:
             live.first = push
         live.pushes.append(push)
         live.open += 1
@@ -919,7 +832,8 @@
         live.moving = False
         # Twice what it should take and a tenth of a second: by then most answers are in.
         live.look_at = now + 2.0 * self.health.wait(backend, live.cost, now) + 0.1
-        self.health.sent((live.inv.id, number), push)
+        view.open[live.inv.id, number] = push
+        view.work += push.cost
         if backend.ramp_start is not None:
             view.cold.append((now, live.cost))
         if view.cause:
@@ -932,9 +846,7 @@
         crowded = self.health.crowded_out([seat.backend for seat in self.rotation.seats])
 
         def allowed(backend: Backend) -> bool:
-            if backend.id in tried:
-                return False
-            if not self.health.pickable(backend, now, crowded):
+            if backend.id in tried or not self.health.pickable(backend, now, crowded):
                 return False
             return self.may_push(live, backend, now)
 
@@ -956,13 +868,10 @@
 
     def _push_again(self, live: Live, now: float) -> None:
         """Nothing is out any more and there is no answer: push on if that is allowed, or give up at once."""
-        if self.retries.allows(live):
-            backend = self._pick(live, now)
-            if backend is not None:
-                self.retries.spend()
-                self._push(live, backend, now)
-                return
-        self._give_up(live, now)
+        backend = self._pick(live, now) if self.retries.allows(live) else None
+        if backend is not None:
+            self.retries.spend()
+        self._push(live, backend, now)
 
     def _give_up(self, live: Live, now: float) -> None:
         if live.open or live.answered:
@@ -1000,25 +909,20 @@
         self._probe(now)
 
     def _probe(self, now: float) -> None:
-        if self.limits.probes and self.health.ejected:
-            for seat in self.rotation.seats:
-                view = self.health.view(seat.backend)
-                if view.cause in ("dead", "hung") and self.health.trial_due(seat.backend, now):
-                    view.trial = True
-                    self.host.probe(seat.backend.id)
+        for seat in self.rotation.seats if self.limits.probes and self.health.ejected else ():
+            view = self.health.view(seat.backend)
+            if view.cause in ("dead", "hung") and self.health.trial_due(seat.backend, now):
+                view.trial = True
+                self.host.probe(seat.backend.id)
 
     def _look_again(self, live: Live, now: float) -> None:
         """A push that takes long on a backend gone silent: a second copy, or the same push elsewhere."""
         push = next(push for push in live.pushes if push.outcome is None)
         view = self.health.view(push.backend)
-        if view.answered > push.sent and not view.cause:
-            return
-        if not self.retries.allows(live):
+        if view.answered > push.sent and not view.cause or not self.retries.allows(live):
             return
         if self.limits.second_copies and live.offering.kind is not Kind.ONCE_ONLY:
-            if self.admission.crowded(now):
-                return
-            backend = self._pick(live, now)
+            backend = None if self.admission.crowded(now) else self._pick(live, now)
             if backend is not None:
                 self.retries.spend()
                 self._push(live, backend, now)
@@ -1027,8 +931,9 @@
             self.host.cancel(live.inv.id, live.pushes.index(push))
 
     def _readmitted(self, backend: Backend, cause: str, now: float) -> None:
-        self.roster.back(backend, self.health.view(backend).since, cause == "dead", now)
-        self._rebuild(now)
+        if cause:
+            self.roster.back(backend, self.health.view(backend).since, cause == "dead", now)
+            self._rebuild(now)
 
     def _rebuild(self, now: float) -> None:
         everyone, rate = self.roster.usable, self.admission.rate(now)
