--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -287,3 +287,16 @@
     assert bench.come("c").final == "nacked"
     bench.list([entry(1)])
     assert bench.come("d").pushes
+
+
+def test_a_push_past_its_target_time_no_longer_fills_the_room() -> None:
+    """Guards against nacks in a fleet of which a part is stuck: old pushes there say nothing of the rest."""
+    bench = Bench(copies=False, probes=False)
+    bench.list([entry(n) for n in range(8)])
+    bench.come("a", "pay")
+    bench.advance(0.2)
+    assert bench.node.out == 1
+    bench.advance(0.2)
+    assert bench.node.out == 0
+    bench.end("a", 0, Outcome.COMPLETED)
+    assert bench.node.out == 0
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -266,6 +266,7 @@
     def __init__(self, backend: Backend, sent: float, cost: float, ahead: float) -> None:
         self.backend, self.sent, self.cost, self.ahead = backend, sent, cost, ahead
         self.outcome: Outcome | None = None
+        self.counted = True  # among what is out, until it ends or its target time has passed
 
 
 class Pace:
@@ -721,8 +722,7 @@
         if outcome is Outcome.COMPLETED or outcome is Outcome.TIMED_OUT:
             in_time = push.cost + self.admission.LATE * live.offering.target_time
             self.admission.ended(outcome is Outcome.TIMED_OUT or took > in_time, self.out, now)
-        self.admission.level(self.out, now)
-        self.out -= 1
+        self._count_off(push, now)
         cause = self.health.ended((id, number), push, live.offering, live.inv.hint, now)
         self._readmitted(push.backend, cause, now)
         if last and not live.answered:
@@ -895,15 +895,25 @@
         if live.answered and not live.open:
             self.live.pop(live.inv.id, None)
 
+    def _count_off(self, push: Push, now: float) -> None:
+        if push.counted:
+            self.admission.level(self.out, now)
+            self.out -= 1
+            push.counted = False
+
     def _sweep_soon(self) -> None:
         """Idle nodes sleep: with hundreds of them the looks at nothing would cost more than the decisions."""
-        if self.out and not self.sweeping:
+        if self.live and not self.sweeping:
             self.sweeping = True
             self.host.set_timer(self.SWEEP, "sweep")
 
     def _sweep(self, now: float) -> None:
         self.health.look([seat.backend for seat in self.rotation.seats], now)
         for live in list(self.live.values()):
+            for push in live.pushes:
+                # Guards against a few backends that keep what they get and so fill the room for all others.
+                if push.counted and now - push.sent > live.offering.target_time:
+                    self._count_off(push, now)
             if now >= live.look_at and live.open == 1 and not live.answered and not live.moving:
                 self._look_again(live, now)
         self._probe(now)
