--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -305,8 +305,7 @@
         self.signs = 0  # of a dead process, since the last completed push
         self.fulls, self.full_until = 0, 0.0
         self.cause = ""  # why it is ejected; empty if it is not
-        self.since = self.until = 0.0
-        self.strikes, self.trial = 0, False
+        self.since, self.until, self.strikes, self.trial = 0.0, 0.0, 0, False
         self.cold: deque[tuple[float, float]] = deque()  # pushes while ramping: when, and expected cost
 
     def silent(self, now: float) -> float:
@@ -397,8 +396,8 @@
     def ended(self, key: tuple[str, int], push: Push, offering: Offering, hint: float, now: float) -> str:
         """Take in an outcome; returns the cause that the backend was out for if this brings it back."""
         view = self.view(push.backend)
-        if view.open.pop(key, None) is not None:
-            view.work = view.work - push.cost if view.open else 0.0
+        del view.open[key]
+        view.work = view.work - push.cost if view.open else 0.0
         took, outcome = now - push.sent, push.outcome
         trial = view.cause != "" and push.sent >= view.until
         if trial:
@@ -523,8 +522,7 @@
         self.arrivals = Fading(self.LONGEST)
         self.span = self.LONGEST
         self.ends, self.lates = Fading(self.span), Fading(self.span)
-        self.mean_out = self.out_at = 0.0
-        self.cut_at = self.ended_at = 0.0
+        self.mean_out = self.out_at = self.cut_at = self.ended_at = 0.0
 
     def sized(self, fair: float, now: float) -> None:
         """Backends to each node; and how far to look back, which a trickle makes longer."""
@@ -548,11 +546,9 @@
 
     def rank(self, live: Live) -> float:
         """How much an invocation is worth for the work it makes, as a share of the most there is."""
-        offering, worth = live.offering, live.offering.utility
-        if live.over_share:
-            worth *= self.over_share
+        worth = live.offering.utility * (self.over_share if live.over_share else 1.0)
         if live.inv.again:
-            worth *= offering.late_share  # the first try's target time has most likely passed
+            worth *= live.offering.late_share  # the first try's target time has most likely passed
         if self.by_work:
             return worth / self.top
         worth /= max(live.cost, 1e-6)
@@ -620,9 +616,6 @@
         most = 2 + round((self.max_pushes - 2) * live.offering.utility / self.top)
         return len(live.pushes) < most and self.budget >= 1.0
 
-    def spend(self) -> None:
-        self.budget -= 1.0
-
 
 class Live:
     """An invocation in this node's hands."""
@@ -671,10 +664,9 @@
         self.admission = Admission(tenants, over_share_worth, nodes, top, utility_by_work)
         self.retries = Retries(limits.max_pushes, top)
         self.live: dict[str, Live] = {}
-        self.watch_wait = 0.0
-        self.out = 0  # pushes that have not ended
+        self.out = 0  # pushes that have not ended and are not past their target time
         host.set_timer(self.INTERVAL * self.chance.draw(), "interval")
-        self.sweeping = False
+        self.sweeping, self.watch_wait = False, 0.0
         self.blind_at = float("inf")  # from then on this node is deemed told of what it has not heard
         if must_ask_in:
             self._watch(now)
@@ -861,16 +853,14 @@
         """An ejected backend whose time is up gets one repeatable invocation, or first a probe."""
         if not self.health.ejected or live.offering.kind is not Kind.REPEATABLE:
             return None
-        for seat in self.rotation.seats:
-            if self.health.trial_due(seat.backend, now) and self.may_push(live, seat.backend, now):
-                return seat.backend
-        return None
+        due = (seat.backend for seat in self.rotation.seats if self.health.trial_due(seat.backend, now))
+        return next((backend for backend in due if self.may_push(live, backend, now)), None)
 
     def _push_again(self, live: Live, now: float) -> None:
         """Nothing is out any more and there is no answer: push on if that is allowed, or give up at once."""
         backend = self._pick(live, now) if self.retries.allows(live) else None
         if backend is not None:
-            self.retries.spend()
+            self.retries.budget -= 1.0
         self._push(live, backend, now)
 
     def _give_up(self, live: Live, now: float) -> None:
@@ -934,7 +924,7 @@
         if self.limits.second_copies and live.offering.kind is not Kind.ONCE_ONLY:
             backend = None if self.admission.crowded(now) else self._pick(live, now)
             if backend is not None:
-                self.retries.spend()
+                self.retries.budget -= 1.0
                 self._push(live, backend, now)
         elif self.limits.cancelling and live.offering.kind is Kind.REPEATABLE:
             live.moving = True
