--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -333,7 +333,7 @@
     def __init__(self, chance: Chance, log: Callable[[str], None]) -> None:
         self.chance, self.log = chance, log
         self.views: defaultdict[str, View] = defaultdict(View)
-        self.zones = defaultdict(lambda: Pace(self.MEMORY))
+        self.zones = defaultdict(lambda: Pace(3.0 * self.MEMORY))
         self.units = defaultdict(lambda: (Fading(30.0), Fading(30.0)))
         self.ejected = 0
         self.slowest = self.slowest_at = 0.0
@@ -641,7 +641,7 @@
 
     INTERVAL = 1.0  # seconds between rebuilds of the rotation, as in the design's source
     SWEEP = 0.025  # seconds between looks at what is unanswered: a tenth of the shortest usual target time
-    AFAR = 0.2  # of the target time: what another zone must be quicker by, for a crossing has its price
+    AFAR = 0.3  # of the target time: what another zone must be quicker by, for a crossing has its price
     LAST_MOMENT = 0.005  # seconds; nothing can be answered in less
 
     def __init__(
