--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -333,7 +333,7 @@
     def __init__(self, chance: Chance, log: Callable[[str], None]) -> None:
         self.chance, self.log = chance, log
         self.views: defaultdict[str, View] = defaultdict(View)
-        self.zones = defaultdict(lambda: Pace(3.0 * self.MEMORY))
+        self.zones = defaultdict(lambda: Pace(2.0 * self.MEMORY))
         self.units = defaultdict(lambda: (Fading(30.0), Fading(30.0)))
         self.ejected = 0
         self.slowest = self.slowest_at = 0.0
