--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -100,3 +100,33 @@
     known = bench.node.roster.known[backend]
     assert known.ramp_start is not None and known.ramp_start > 106.0
     assert any(line == f"readmitted {backend}: was dead" for line in bench.lines)
+
+
+def test_a_part_is_every_nth_and_grows_when_most_of_it_is_lost() -> None:
+    backends = [decide.Backend(entry(n)) for n in range(96)]
+    ids = [backend.id for backend in backends]
+    met = dict.fromkeys(ids, 0)
+    for rank in range(40):
+        part = [b.id for b in decide.Part(rank).of(backends, 4.0, lambda b: True)]
+        assert part == ids[rank % 4 :: 4]
+        for id in part:
+            met[id] += 1
+    assert set(met.values()) == {10}, "all backends are in as many parts"
+    part, lost = decide.Part(1), set(ids[1::4][:21])
+    assert len(part.of(backends, 4.0, lambda b: b.id not in lost)) == 48
+    assert part.of(backends, 100.0, lambda b: True) == backends
+    assert decide.Part(7).of([], 1.0, lambda b: True) == []
+
+
+def test_a_crowded_zone_is_left_before_each_of_its_backends_is_met() -> None:
+    """Guards against a trickle that stays in a crowded zone of which it has met few backends."""
+    bench = Bench(nodes=400, copies=False, probes=False)
+    bench.list([entry(n)._replace(zone="xy"[n // 2 % 2]) for n in range(40)])
+    places = []
+    for step in range(220):
+        account = bench.come(f"i{step}", "pay", left=3.0, tenant="")
+        if account.pushes:
+            places.append(bench.places[account.pushes[0][0]].zone)
+            bench.advance(0.25 if places[-1] == "x" and step > 100 else 0.05)
+            bench.end(f"i{step}", 0, Outcome.COMPLETED)
+    assert "y" not in places[:100] and places[150:].count("y") > 10, places
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -13,8 +13,9 @@
 @pytest.mark.parametrize("seed", range(12))
 def test_rules_hold_in_random_runs(seed: int) -> None:
     rng = random.Random(seed)
-    bench = Bench(seed, copies=rng.random() < 0.5, probes=rng.random() < 0.5)
-    bench.list([entry(n) for n in range(rng.randint(0, 9))], ListKind.RESTORED)
+    nodes, most = [(2, 9), (1, 1), (400, 60)][seed % 3]
+    bench = Bench(seed, copies=rng.random() < 0.5, probes=rng.random() < 0.5, nodes=nodes)
+    bench.list([entry(n) for n in range(rng.randint(0, most))], ListKind.RESTORED)
     for step in range(600):
         chance = rng.random()
         if chance < 0.45:
@@ -26,11 +27,11 @@
             bench.leave(rng.choice(list(bench.accounts)))
         elif chance < 0.88:
             state = rng.choice(list(State))
-            number = rng.randrange(12)
+            number = rng.randrange(most + 3)
             if state is State.RUNNING or f"b{number:02}" in bench.places:
                 bench.list([entry(number, state, rng.choice([None, bench.now - 3]))], ListKind.CHANGES)
         elif chance < 0.89:
-            bench.list([entry(n) for n in range(rng.randint(0, 9))])
+            bench.list([entry(n) for n in range(rng.randint(0, most))])
         elif chance < 0.9:
             bench.node.on_list(bench.now, ListKind.UNAVAILABLE, [])
         elif chance < 0.93 and bench.probes:
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -842,7 +842,8 @@
                 return False
             return self.may_push(live, backend, now)
 
-        afar = self.AFAR * live.offering.target_time
+        # The price of a crossing is no reason to nack, or to be late, beside a zone with room to spare.
+        afar = 0.0 if self.admission.crowded(now) else self.AFAR * live.offering.target_time
 
         def wait(backend: Backend) -> float:
             return self.health.wait(backend, live.cost, now) + (afar if backend.zone != self.zone else 0.0)
