--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -273,8 +273,7 @@
     """How long answers took against what was expected of them."""
 
     def __init__(self, span: float) -> None:
-        self.took, self.expected = Fading(span), Fading(span)
-        self.learned = -100.0 * span
+        self.took, self.expected, self.learned = Fading(span), Fading(span), -100.0 * span
 
     def learn(self, took: float, expected: float, now: float) -> None:
         self.took.add(took, now)
