--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -131,3 +131,14 @@
         if account.pushes:
             bench.end(f"i{step}", 0, Outcome.COMPLETED)
     assert "y" not in places[:100] and places.count("y") > 10, places
+
+
+def test_a_few_answers_of_seconds_do_not_outweigh_many_quick_ones() -> None:
+    """Guards against a standstill after a jam: a zone that is quick again counts as crowded for long."""
+    health = decide.Health(decide.Chance(1), print)
+    stuck, quick, unmet = (decide.Backend(entry(n)) for n in (0, 2, 4))
+    for backend, took, count in ((stuck, 2.0, 5), (quick, 0.04, 30)):
+        for _ in range(count):
+            health._learn(decide.Push(backend, 100.0, 0.05, 0.0), took, 0.05, 100.0)
+    assert health.slowness(unmet, 0.05, 100.0) < 1.6
+    assert health.slowness(stuck, 0.05, 100.0) > 5.0
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -324,6 +324,7 @@
     ANSWERS = 3.0  # of a backend, that memory holds at least: one alone may have been a heavy invocation …
     LONGEST = 16.0  # … but seconds at most, about as long as a trouble lasts
     PRIOR = 2.0  # answers that what is known beforehand counts for
+    SLOWEST = 4.0  # times what was expected: more says no more of a zone
     SILENCE = 0.35  # seconds; longer than a collector's pause, shorter than any client waits
     TOO_MANY_ERRORS = 0.25  # well above what sound backends err, below what hurts more than a lost backend
     FIRST_SENTENCE = 1.0  # seconds until the first trial; doubles up to the last
@@ -347,7 +348,8 @@
 
     def _learn(self, push: Push, took: float, expected: float, now: float) -> None:
         self.view(push.backend).pace.learn(took, expected, now)
-        self.zones[push.backend.zone].learn(took, expected, now)
+        # Guards against a standstill after a jam: one answer of seconds would outweigh dozens of quick ones.
+        self.zones[push.backend.zone].learn(min(took, self.SLOWEST * expected), expected, now)
 
     def view(self, backend: Backend) -> View:
         return self.views[backend.id]
@@ -649,7 +651,7 @@
         limits: Limits, cold: ColdRule, must_ask_in: float,
     ) -> None:  # fmt: skip
         self.host, self.zone, self.nodes = host, zone, nodes
-        self.limits, self.cold, self.must_ask_in = limits, cold, must_ask_in
+        self.limits, self.cold, self.must_ask_in = limits, cold, must_ask_in or float("inf")
         self.offerings = {offering.name: offering for offering in offerings}
         top = max(offering.utility for offering in offerings) or 1.0
         self.chance = Chance(seed)
@@ -675,11 +677,10 @@
     def on_list(self, now: float, kind: ListKind, entries: list[Entry]) -> None:
         if kind is ListKind.UNAVAILABLE:
             # Spread out, or all nodes call a struggling list service in step; always well before MustAskIn.
-            self.watch_wait = min(max(2.0 * self.watch_wait, 0.25), 2.0, self.must_ask_in / 4.0 or 2.0)
+            self.watch_wait = min(max(2.0 * self.watch_wait, 0.25), 2.0, self.must_ask_in / 4.0)
             self.host.set_timer(self.watch_wait * (0.5 + self.chance.draw()), "watch")
             # A watch that breaks off leaves MustAskIn; a failed call four times that from when it was made.
-            if self.must_ask_in:
-                self.blind_at = now + self.must_ask_in * (1.0 if self.blind_at == float("inf") else 3.0)
+            self.blind_at = now + self.must_ask_in * (1.0 if self.blind_at == float("inf") else 3.0)
             return
         if kind is not ListKind.RESTORED:
             self.watch_wait, self.blind_at = 0.0, float("inf")
@@ -756,10 +757,9 @@
 
     def may_push(self, live: Live, backend: Backend, now: float) -> bool:
         """Whether the rules let this invocation go to this backend now."""
-        if live.answered or now >= live.cut_off - self.LAST_MOMENT or not backend.usable:
+        # What has drained since a node went blind is not known to it, and deemed told.
+        if live.answered or not backend.usable or now >= min(live.cut_off - self.LAST_MOMENT, self.blind_at):
             return False
-        if now >= self.blind_at:
-            return False  # what has drained meanwhile is not known, and deemed told
         if len(live.pushes) >= self.limits.max_pushes or (live.open and not self.limits.second_copies):
             return False
         if live.offering.kind is not Kind.REPEATABLE and live.may_have_run:
