--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -191,7 +191,7 @@
     bench = Bench()
     bench.list([entry(n) for n in range(4)])
     for step in range(3000):
-        bench.node.admission.ended(False, 100, bench.now + 0.001 * step)
+        bench.node.admission.ended(False, 100, bench.now + 0.003 * step)
     assert bench.node.admission.room == 6.0 * 4 / 2
 
 
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -507,7 +507,7 @@
     FEW = 16.0  # invocations: a span that sees fewer says nothing of how many pushes are out or late
     GROWTH = 1.0  # of a push for each backend and second: from the least room to the most within a surge
     MOST_ROOM = 6.0  # however well answers come: what holds more is slowed by that alone
-    FIRST_ROOM = 4.0  # pushes out at each backend by all nodes, until something is learned
+    FIRST_ROOM = 1.0  # push at each backend by all nodes: queues of the first seconds slow backends for long
     SAVED = 5.0  # invocations that a tenant may save up: as many as come together by chance in a trickle
     LONGEST = 5.0  # seconds: the longest look back, well under what a surge lasts
 
