--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -212,10 +212,10 @@
         largest = max(given, default=0.0) or 1.0
         self.seats = []
         for backend, listed in zip(backends, given, strict=True):
-            share = ratio(backend)
-            weight = max(floor(100.0 * listed / largest * share + 1e-9), 1)
             if listed <= 0:
                 continue
+            share = ratio(backend)
+            weight = max(floor(100.0 * listed / largest * share + 1e-9), 1)
             old = before.get(backend.id)
             if share < 1.0 and old is not None and old.ramping:
                 wait = max(old.turn - self.clock, 0.0) * old.weight
@@ -462,12 +462,12 @@
         view = self.view(backend)
         return view.cause != "" and now >= view.until and not view.trial
 
-    def crowded_out(self, backends: list[Backend]) -> bool:
+    def crowded_out(self, seats: list[Seat]) -> bool:
         """Whether so many are ejected that there must be another reason; then all but the dead are used.
 
         With half of a fleet dead, pushes to what takes no connections would use up every budget.
         """
-        return bool(self.ejected) and 2 * sum(self.view(b).cause != "" for b in backends) > len(backends)
+        return self.ejected > 0 and 2 * sum(self.view(s.backend).cause != "" for s in seats) > len(seats)
 
     def _eject(self, backend: Backend, view: View, cause: str, now: float) -> None:
         if not view.cause:
@@ -501,7 +501,7 @@
     OPEN = 0.3  # of the room, to any utility: a flood worth next to nothing leaves room for the least worth
     LATE = 0.3  # of the target time: later than that, queues already slow backends down (incident if777b3)
     MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
-    CROWDED = 0.15  # half of that: from here on second copies only add to the crowd
+    CROWDED = 0.15  # half of that: from here on copies add to the crowd and any zone with room is welcome
     PAUSE = 0.2  # of the span looked back on, between two cuts, so that each cut is seen before the next
     LEAST_ROOM = 0.25  # pushes for each backend: less and nothing more would be learned
     FEW = 16.0  # invocations: a span that sees fewer says nothing of how many pushes are out or late
@@ -834,7 +834,7 @@
 
     def _pick(self, live: Live, now: float) -> Backend | None:
         tried = {push.backend.id for push in live.pushes}
-        crowded = self.health.crowded_out([seat.backend for seat in self.rotation.seats])
+        crowded = self.health.crowded_out(self.rotation.seats)
 
         def allowed(backend: Backend) -> bool:
             if backend.id in tried or not self.health.pickable(backend, now, crowded):
