--- /dev/null
+++ b/thornladder/__main__.py
@@ -0,0 +1,51 @@
+"""`python -m thornladder`: one node on sockets, as the file named by EDGE_CONFIG says."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import sys
+
+import anyio
+import structlog
+
+from thornladder import service, settings
+from thornladder.fields import Malformed
+from thornladder.messages import decode_list
+
+
+def main() -> int:
+    path = os.environ.get("EDGE_CONFIG", "")
+    if not path:
+        print("thornladder: EDGE_CONFIG names no file", file=sys.stderr)
+        return 2
+    try:
+        config = settings.load(path)
+        known = decode_list(config.known)
+    except Malformed as error:
+        print(f"thornladder: {path}: {error}", file=sys.stderr)
+        return 2
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    # What stands now stands to the end: no collection goes through it again.
+    gc.freeze()
+    try:
+        anyio.run(service.run, config, known, structlog.get_logger())
+    except OSError as error:
+        print(f"thornladder: {error}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/thornladder/adapter/__main__.py
+++ b/thornladder/adapter/__main__.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from thornladder import decide
+from thornladder import decide, settings
 from thornladder.adapter import wire
+from thornladder.fields import Malformed, lookup, parse, seconds, take
 
 Message = dict[str, Any]
 
@@ -72,12 +73,12 @@
 
     def feed(self, message: Message) -> None:
         """One event. An exception of the module ends the day as broken, with its text."""
-        kind = wire.take(message, "kind", str)
-        name = wire.take(message, "I", str)
+        kind = take(message, "kind", str)
+        name = take(message, "I", str)
         broken = f'{{"kind":"BROKEN","I":{json.dumps(name)},"Words":'
         if kind == "CREATE":
-            seed = wire.take(message, "Nonce64", int)
-            given = wire.settings(wire.take(message, "Info", dict))
+            seed = take(message, "Nonce64", int)
+            given = settings.decisions(take(message, "Info", dict))
             try:
                 host = InstanceHost(name, self.reply)
                 self.nodes[name] = decide.Node(host, seed=seed, now=self.now, **given)
@@ -88,13 +89,13 @@
         else:
             handler = self.actions.get(kind)
             if handler is None:
-                raise wire.Malformed(f"kind has the unknown value {kind!r}")
+                raise Malformed(f"kind has the unknown value {kind!r}")
             node = self.nodes.get(name)
             if node is None:
-                raise wire.Malformed(f"{kind} for {name!r}, which was not created")
+                raise Malformed(f"{kind} for {name!r}, which was not created")
             try:
                 handler(node, message)
-            except wire.Malformed:
+            except Malformed:
                 raise
             except Exception as error:
                 self.reply.append(f"{broken}{json.dumps(repr(error))}}}")
@@ -102,34 +103,34 @@
     def _submit(self, node: decide.Node, message: Message) -> None:
         invocation = wire.invocation(message)
         if invocation.offering not in node.offerings:
-            raise wire.Malformed(f"Qos has the unknown value {invocation.offering!r}")
+            raise Malformed(f"Qos has the unknown value {invocation.offering!r}")
         node.on_invocation(self.now, invocation)
 
     def _ended(self, node: decide.Node, message: Message) -> None:
         node.on_push_ended(
             self.now,
-            wire.take(message, "Id", str),
-            wire.take(message, "Try", int, 0),
-            wire.lookup(wire.OUTCOMES, message, "Reason"),
-            wire.seconds(message, "TimeTaken", 0.0),
+            take(message, "Id", str),
+            take(message, "Try", int, 0),
+            lookup(wire.OUTCOMES, message, "Reason"),
+            seconds(message, "TimeTaken", 0.0),
             bool(message.get("Last")),
         )
 
     def _bell(self, node: decide.Node, message: Message) -> None:
-        node.on_timer(self.now, wire.take(message, "Nonce", str))
+        node.on_timer(self.now, take(message, "Nonce", str))
 
     def _dropped(self, node: decide.Node, message: Message) -> None:
-        node.on_client_gone(self.now, wire.take(message, "Id", str))
+        node.on_client_gone(self.now, take(message, "Id", str))
 
     def _endpoints(self, node: decide.Node, message: Message) -> None:
-        node.on_list(self.now, wire.lookup(wire.SCOPES, message, "Scope"), wire.entries(message))
+        node.on_list(self.now, lookup(wire.SCOPES, message, "Scope"), wire.entries(message))
 
     def _echo(self, node: decide.Node, message: Message) -> None:
-        outcome = wire.lookup(wire.OUTCOMES, message, "Reason")
-        node.on_probe_ended(self.now, wire.take(message, "Backend", str), outcome)
+        outcome = lookup(wire.OUTCOMES, message, "Reason")
+        node.on_probe_ended(self.now, take(message, "Backend", str), outcome)
 
     def _head_received(self, node: decide.Node, message: Message) -> None:
-        node.on_answer_started(self.now, wire.take(message, "Id", str), wire.take(message, "Try", int, 0))
+        node.on_answer_started(self.now, take(message, "Id", str), take(message, "Try", int, 0))
 
     def _mail(self, node: decide.Node, message: Message) -> None:
         """Nodes share nothing: a message from another node is read and left."""
@@ -141,18 +142,18 @@
     for line in source:
         if not line.strip():
             continue
-        message = wire.parse(line)
+        message = parse(line)
         kind = message.get("kind")
         if kind == "SYNC":
             if in_batch:
-                raise wire.Malformed("SYNC inside a batch")
+                raise Malformed("SYNC inside a batch")
             in_batch = True
-            now = wire.seconds(message, "Time")
+            now = seconds(message, "Time")
             if now < adapter.now:
-                raise wire.Malformed("Time runs backwards")
+                raise Malformed("Time runs backwards")
             adapter.now = now
         elif not in_batch:
-            raise wire.Malformed(f"{kind!r} outside a batch")
+            raise Malformed(f"{kind!r} outside a batch")
         elif kind == "FLUSH":
             in_batch = False
             adapter.reply.append('{"kind":"NEXT"}\n')
@@ -162,7 +163,7 @@
         else:
             adapter.feed(message)
     if in_batch:
-        raise wire.Malformed("the input ends inside a batch")
+        raise Malformed("the input ends inside a batch")
 
 
 def main() -> int:
@@ -170,7 +171,7 @@
     sys.stdout.reconfigure(encoding="utf-8", newline="\n")
     try:
         run(sys.stdin, sys.stdout)
-    except (wire.Malformed, UnicodeDecodeError) as error:
+    except (Malformed, UnicodeDecodeError) as error:
         print(f"thornladder: malformed input: {error}", file=sys.stderr)
         return 2
     except BrokenPipeError:
--- /dev/null
+++ b/thornladder/backends/pool.py
@@ -0,0 +1,85 @@
+"""Connections to backends: the idle ones of each, and how many there are in all."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from thornladder import http1
+from thornladder.http1 import Cause, Failure, Line, Stage
+from thornladder.settings import Address
+
+
+class Pool:
+    MARGIN = 1.0  # seconds before the backend closes an idle connection; more than an answer is on its way
+
+    def __init__(
+        self, most: int, idle_close: float, connect_time_out: float, clock: Callable[[], float]
+    ) -> None:
+        self.most, self.connect_time_out, self.clock = most, connect_time_out, clock
+        self.keep = max(idle_close - self.MARGIN, 0.5 * idle_close)
+        self.idle: defaultdict[str, list[Line]] = defaultdict(list)  # the last one used goes first
+        self.held = 0  # connections, and attempts at one
+        self.left: list[Line] = []  # cut, to be closed
+
+    async def get(self, backend: str, address: Address) -> Line | Failure:
+        """A connection on which nothing is out: an idle one that still stands, or a new one."""
+        lines = self.idle[backend]
+        while lines:
+            line = lines.pop()
+            if self.clock() - line.idle_since < self.keep and not line.stale():
+                return line
+            self._leave(line)
+        if self.held >= self.most and not self._spare_one():
+            return Failure(Stage.CONNECTING, Cause.TOO_LATE, "no descriptor to spare")
+        self.held += 1
+        line: Line | Failure | None = None
+        try:
+            line = await http1.connect(address, self.connect_time_out, self.clock())
+        finally:
+            if not isinstance(line, Line):
+                self.held -= 1
+        return line
+
+    async def put(self, backend: str, line: Line) -> None:
+        """Takes a connection back: kept if it can be used again, closed if not."""
+        if line.reusable:
+            line.idle_since = self.clock()
+            self.idle[backend].append(line)
+            return
+        self.held -= 1
+        await line.close()
+
+    def drop(self, backend: str) -> None:
+        """Nothing new goes to this backend: its idle connections are of no use."""
+        for line in self.idle.pop(backend, ()):
+            self._leave(line)
+
+    async def sweep(self) -> None:
+        """Closes what has stood idle for long or was closed by the other side."""
+        now = self.clock()
+        for backend in list(self.idle):
+            lines = self.idle.pop(backend)
+            good = [line for line in lines if now - line.idle_since < self.keep and not line.stale()]
+            if good:
+                self.idle[backend] = good
+            for line in lines:
+                if line not in good:
+                    self._leave(line)
+        left, self.left = self.left, []
+        for line in left:
+            await line.close()
+
+    def _leave(self, line: Line) -> None:
+        line.cut()
+        self.left.append(line)
+        self.held -= 1
+
+    def _spare_one(self) -> bool:
+        """Gives up the idle connection that has stood longest, so that another backend can have one."""
+        lines = [lines for lines in self.idle.values() if lines]
+        if not lines:
+            return False
+        oldest = min(lines, key=lambda each: each[0].idle_since)
+        self._leave(oldest.pop(0))
+        return True
--- /dev/null
+++ b/thornladder/backends/pushes.py
@@ -0,0 +1,131 @@
+"""Pushes and probes: each one asking on one connection, whose end is told as an outcome."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+import h11
+from anyio.abc import TaskGroup
+
+from thornladder import messages
+from thornladder.backends.pool import Pool
+from thornladder.exchange import Exchange
+from thornladder.http1 import Cause, Failure, Line, Stage
+from thornladder.interface import ListKind, Outcome, State
+from thornladder.messages import Answer, ListAnswer, Reply
+from thornladder.settings import Address
+
+
+class Told(Protocol):
+    """Who hears of the ends."""
+
+    def push_ended(
+        self, exchange: Exchange, number: int, outcome: Outcome, sent: float, answer: Answer | None
+    ) -> None: ...
+
+    def probe_ended(self, backend: str, outcome: Outcome) -> None: ...
+
+
+def outcome_of(result: Reply | Failure) -> Outcome:
+    """What is known of a push by how far it had come. Only what surely never ran is called so."""
+    if isinstance(result, Reply):
+        return messages.outcome_of(result)
+    begun = result.stage in (Stage.SENT, Stage.ANSWERING)
+    if result.cause is Cause.TIME_OUT:
+        return Outcome.TIMED_OUT if begun else Outcome.NOT_SENT
+    if result.cause is Cause.CANCELLED:
+        return Outcome.CANCELLED if begun else Outcome.NOT_SENT
+    if result.cause is Cause.TOO_LATE:
+        return Outcome.NOT_SENT
+    return Outcome.BROKEN_OFF if begun else Outcome.UNREACHABLE
+
+
+class Pushes:
+    PROBE_TIME_OUT = 0.25  # seconds: longer than a busy backend takes for a probe, shorter than a sentence
+    DRAIN_MARGIN = 0.05  # seconds kept of the drain's grace for the way to the backend
+    FORGET = 60.0  # seconds: far longer than any push is out
+
+    def __init__(
+        self, pool: Pool, drain_grace: float, tasks: TaskGroup, told: Told, clock: Callable[[], float]
+    ) -> None:
+        self.pool, self.grace, self.tasks, self.told, self.clock = pool, drain_grace, tasks, told, clock
+        self.addresses: dict[str, Address] = {}
+        self.leaving: dict[str, float] = {}  # since when each backend has been known to drain or be gone
+
+    def on_list(self, answer: ListAnswer) -> None:
+        """Where the backends are, and to which of them nothing new goes."""
+        now = self.clock()
+        running = {entry.backend for entry in answer.entries if entry.state is State.RUNNING}
+        left = {entry.backend for entry in answer.entries} - running
+        if answer.kind is not ListKind.CHANGES:
+            left |= self.addresses.keys() - running
+        for backend, address in answer.addresses.items():
+            if self.addresses.get(backend, address) != address:
+                self.pool.drop(backend)
+            self.addresses[backend] = address
+        for backend in running:
+            self.leaving.pop(backend, None)
+        for backend in left:
+            self.leaving.setdefault(backend, now)
+            self.pool.drop(backend)
+
+    def forget(self) -> None:
+        """What left long ago cannot be pushed to any more."""
+        for backend, since in list(self.leaving.items()):
+            if self.clock() - since > self.FORGET:
+                del self.leaving[backend]
+                self.addresses.pop(backend, None)
+
+    def start(self, exchange: Exchange, backend: str, time_out: float) -> None:
+        number, scope = exchange.open_push()
+        scope.deadline = anyio.current_time() + time_out
+        self.tasks.start_soon(self._push, exchange, number, backend, time_out)
+
+    async def _push(self, exchange: Exchange, number: int, backend: str, time_out: float) -> None:
+        sent = self.clock()
+        request = messages.encode_push(exchange.message, time_out)
+        result = await self._ask(backend, request, exchange.message.body, exchange.scopes[number])
+        answer = messages.completed(result) if isinstance(result, Reply) and result.status == 200 else None
+        self.told.push_ended(exchange, number, outcome_of(result), sent, answer)
+
+    def probe(self, backend: str) -> None:
+        self.tasks.start_soon(self._probe, backend)
+
+    async def _probe(self, backend: str) -> None:
+        scope = anyio.CancelScope(deadline=anyio.current_time() + self.PROBE_TIME_OUT)
+        request = messages.encode_probe(self.addresses[backend][0] if backend in self.addresses else "")
+        result = await self._ask(backend, request, b"", scope)
+        self.told.probe_ended(backend, outcome_of(result))
+
+    async def _ask(
+        self, backend: str, request: h11.Request, body: bytes, scope: anyio.CancelScope
+    ) -> Reply | Failure:
+        """Asks once. The connection is closed before a time-out or a cancel is told of."""
+        address = self.addresses.get(backend)
+        if address is None:
+            return Failure(Stage.CONNECTING, Cause.TOO_LATE, "no address")
+        line: Line | Failure | None = None
+        result: Reply | Failure | None = None
+        with scope:
+            line = await self.pool.get(backend, address)
+            if isinstance(line, Failure):
+                result = line
+            elif self._too_late(backend):
+                result = Failure(Stage.CONNECTING, Cause.TOO_LATE, "drained meanwhile")
+            else:
+                result = await line.ask(request, body)
+        if result is None:
+            cause = Cause.CANCELLED if anyio.current_time() < scope.deadline else Cause.TIME_OUT
+            result = Failure(line.stage if isinstance(line, Line) else Stage.CONNECTING, cause)
+        if isinstance(line, Line):
+            if backend in self.leaving:
+                line.reusable = False
+            await self.pool.put(backend, line)
+        return result
+
+    def _too_late(self, backend: str) -> bool:
+        """A push that has not begun when the drain's grace ends is not begun any more."""
+        since = self.leaving.get(backend)
+        return since is not None and self.clock() - since > self.grace - self.DRAIN_MARGIN
--- /dev/null
+++ b/thornladder/clients/connection.py
@@ -0,0 +1,201 @@
+"""One client's connection: invocations come in one after the other and are answered in that order."""
+
+from __future__ import annotations
+
+import select
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+from thornladder import messages
+from thornladder.exchange import Exchange
+from thornladder.interface import Offering
+from thornladder.messages import MOST_BODY, Answer, BadInput
+
+BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+class Taker(Protocol):
+    """Who takes what comes in."""
+
+    def came(self, exchange: Exchange) -> bool: ...
+
+    def client_gone(self, exchange: Exchange) -> None: ...
+
+
+class Desk:
+    """What all connections share: who takes invocations, and whether the node is ready or leaving."""
+
+    def __init__(
+        self, taker: Taker, offerings: Mapping[str, Offering], clock: Callable[[], float], log: Any
+    ) -> None:
+        self.taker, self.offerings, self.clock, self.log = taker, offerings, clock, log
+        self.leaving = False
+
+
+class ClientConnection:
+    LINGER = 1.0  # seconds for the client to read its last answer and close
+
+    def __init__(self, stream: SocketStream, desk: Desk) -> None:
+        self.stream, self.desk = stream, desk
+        self.http = h11.Connection(h11.SERVER)
+        self.raw = stream.extra(SocketAttribute.raw_socket)
+        self.request: h11.Request | None = None
+        self.body = bytearray()
+        self.exchange: Exchange | None = None
+        self.outbox = b""
+        self.wake = anyio.Event()
+        self.closing = False  # nothing more is read; what is in the outbox is the last
+        self.since = desk.clock()  # when bytes last came or went
+        self.scope = anyio.CancelScope()
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing of an invocation has been read that is not answered."""
+        unread = self.http.trailing_data[0]
+        return self.request is None and self.exchange is None and not self.outbox and not unread
+
+    async def serve(self) -> None:
+        try:
+            async with anyio.create_task_group() as tasks:
+                self.scope = tasks.cancel_scope
+                tasks.start_soon(self._write)
+                await self._read()
+                tasks.cancel_scope.cancel()
+        except Exception:
+            self.desk.log.exception("a client's connection failed")
+        finally:
+            if self.exchange is not None:
+                self.desk.taker.client_gone(self.exchange)
+            with anyio.CancelScope(shield=True):
+                await self.stream.aclose()
+
+    def close_idle(self) -> None:
+        """Ends an idle connection; what the client has under way it sends again on another."""
+        if self.idle and not self._readable():
+            self.closing = True
+            self.wake.set()
+
+    def _readable(self) -> bool:
+        if self.raw.fileno() < 0:
+            return False
+        watch = select.poll()
+        watch.register(self.raw.fileno(), select.POLLIN)
+        return bool(watch.poll(0))
+
+    async def _read(self) -> None:
+        while True:
+            try:
+                data = await self.stream.receive()
+            except BROKEN:
+                return
+            if self.closing:
+                continue
+            self.since = self.desk.clock()
+            self.http.receive_data(data)
+            if self.exchange is None:
+                self._advance()
+            elif len(self.http.trailing_data[0]) > MOST_BODY:
+                # Guards against a client that goes on sending while it waits: it is not read until answered.
+                while self.exchange is not None:
+                    await anyio.sleep(0.01)
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                await self.wake.wait()
+                self.wake = anyio.Event()
+                data, self.outbox = self.outbox, b""
+                if data:
+                    await self.stream.send(data)
+                    self.since = self.desk.clock()
+                if self.closing and not self.outbox:
+                    break
+                if self.exchange is None:
+                    self._advance()
+            # Guards against a reset that overtakes the answer: close after the client, or after a while.
+            await self.stream.send_eof()
+            await anyio.sleep(self.LINGER)
+        except BROKEN:
+            pass
+        self.scope.cancel()
+
+    def _advance(self) -> None:
+        """Goes through what has come until an invocation is whole or more is needed."""
+        while not self.closing:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._turn_down(error.error_status_hint, "malformed")
+                return
+            if event is h11.NEED_DATA:
+                if self.http.they_are_waiting_for_100_continue:
+                    self._put(self.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
+                return
+            if isinstance(event, h11.Request):
+                self.request = event
+                self.body.clear()
+                if self._announced(event) > MOST_BODY:
+                    self._turn_down(413, "the body is too long")
+            elif isinstance(event, h11.Data):
+                self.body += event.data
+                if len(self.body) > MOST_BODY:
+                    self._turn_down(413, "the body is too long")
+            elif isinstance(event, h11.EndOfMessage):
+                self._whole()
+                return
+            else:
+                return
+
+    @staticmethod
+    def _announced(request: h11.Request) -> int:
+        """The length that the head gives; h11 has checked its form."""
+        return next((int(value) for name, value in request.headers if name == b"content-length"), 0)
+
+    def _whole(self) -> None:
+        request = self.request
+        assert request is not None
+        path = request.target.partition(b"?")[0]
+        if path in (messages.READY_PATH, messages.LIVE_PATH):
+            leaving = self.desk.leaving and path == messages.READY_PATH
+            self._answer(*messages.encode_plain(503 if leaving else 200, "leaving" if leaving else "ready",
+                                                self.desk.leaving))  # fmt: skip
+            return
+        decoded = messages.decode_invocation(request, bytes(self.body), self.desk.offerings)
+        if isinstance(decoded, BadInput):
+            self._answer(*messages.encode_plain(decoded.status, decoded.words, self.desk.leaving))
+            return
+        invocation, message = decoded
+        self.exchange = Exchange(invocation, message, self.desk.clock(), self._deliver)
+        if not self.desk.taker.came(self.exchange):
+            self.exchange = None
+            self._answer(*messages.encode_plain(400, "this X-Call-Id is in hand", self.desk.leaving))
+
+    def _turn_down(self, status: int, words: str) -> None:
+        """Ends the connection with an answer, since where the next message begins is not known."""
+        self.closing = True
+        self._answer(*messages.encode_plain(status, words, True))
+
+    def _deliver(self, answer: Answer) -> None:
+        self.exchange = None
+        self._answer(*messages.encode_answer(answer, self.desk.leaving))
+
+    def _answer(self, response: h11.Response, body: bytes) -> None:
+        """Encodes an answer for the writing task; the connection is ready for the next invocation."""
+        self.request = None
+        self.body.clear()
+        data = self.http.send(response) or b""
+        data += self.http.send(h11.Data(data=body)) or b""
+        data += self.http.send(h11.EndOfMessage()) or b""
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self.closing:
+            self.http.start_next_cycle()
+        else:
+            self.closing = True
+        self._put(data)
+
+    def _put(self, data: bytes) -> None:
+        self.outbox += data
+        self.wake.set()
--- /dev/null
+++ b/thornladder/discovery/watch.py
@@ -0,0 +1,77 @@
+"""A watch on the list over HTTP: one call after the other for as long as they are answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from thornladder import http1, messages
+from thornladder.fields import Malformed
+from thornladder.http1 import Failure, Line
+from thornladder.messages import ListAnswer
+from thornladder.settings import Address
+
+
+class Watch:
+    HOLD = 20.0  # seconds that a call may wait for news: few calls, and a silent cut is noticed in time
+    PATIENCE = 2.0  # seconds beyond that: what is not answered by then counts as told
+    CONNECT = 1.0  # seconds for a connection; the list service works through its callers in turn
+    MOST_LIST = 16 * 1024 * 1024  # bytes: far more than the lines of any fleet that fits the memory
+
+    def __init__(
+        self,
+        address: Address,
+        version: int | None,
+        tasks: TaskGroup,
+        tell: Callable[[ListAnswer | None], None],
+    ) -> None:
+        self.address, self.version, self.tasks, self.tell = address, version, tasks, tell
+        self.running = False
+        self.line: Line | None = None
+
+    def start(self) -> None:
+        """Begins a watch unless one stands. What changed meanwhile comes first; a failure ends it."""
+        if not self.running:
+            self.running = True
+            self.tasks.start_soon(self._run)
+
+    async def _run(self) -> None:
+        wait = 0.0
+        while True:
+            answer = await self._call(wait)
+            if answer is None:
+                break
+            self.version, wait = answer.version, self.HOLD
+            self.tell(answer)
+        self.running = False
+        self.tell(None)
+
+    async def _call(self, wait: float) -> ListAnswer | None:
+        """One call; a failed one closes its connection."""
+        host = f"{self.address[0]}:{self.address[1]}"
+        answer: ListAnswer | None = None
+        with anyio.move_on_after(wait + self.PATIENCE):
+            if self.line is not None and self.line.stale():
+                await self._close()
+            if self.line is None:
+                line = await http1.connect(self.address, self.CONNECT, 0.0)
+                if isinstance(line, Failure):
+                    return None
+                self.line = line
+            request = messages.encode_watch(host, self.version, wait)
+            reply = await self.line.ask(request, most=self.MOST_LIST)
+            if not isinstance(reply, Failure) and reply.status == 200:
+                try:
+                    answer = messages.decode_list(reply.body)
+                except Malformed:
+                    answer = None
+        if answer is None or (self.line is not None and not self.line.reusable):
+            await self._close()
+        return answer
+
+    async def _close(self) -> None:
+        line, self.line = self.line, None
+        if line is not None:
+            await line.close()
--- /dev/null
+++ b/thornladder/exchange.py
@@ -0,0 +1,43 @@
+"""One invocation in flight: where the clients' side and the backends' side meet."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+
+from thornladder.interface import Invocation
+from thornladder.messages import Answer, Message
+
+
+class Exchange:
+    """What came in, the pushes made for it, and its one final answer."""
+
+    __slots__ = ("invocation", "message", "cut_off", "answer", "gone", "scopes", "out", "_deliver")
+
+    def __init__(
+        self, invocation: Invocation, message: Message, came: float, deliver: Callable[[Answer], None]
+    ) -> None:
+        self.invocation, self.message = invocation, message
+        self.cut_off = came + invocation.time_left
+        self.answer: Answer | None = None
+        self.gone = False  # the client left before its answer
+        self.scopes: list[anyio.CancelScope] = []  # of the pushes, by number
+        self.out = 0  # pushes that have not ended
+        self._deliver = deliver
+
+    @property
+    def over(self) -> bool:
+        return self.gone or self.answer is not None
+
+    def finish(self, answer: Answer) -> None:
+        """The first final answer goes to the client; nothing does after it."""
+        if not self.over:
+            self.answer = answer
+            self._deliver(answer)
+
+    def open_push(self) -> tuple[int, anyio.CancelScope]:
+        scope = anyio.CancelScope()
+        self.scopes.append(scope)
+        self.out += 1
+        return len(self.scopes) - 1, scope
--- /dev/null
+++ b/thornladder/host.py
@@ -0,0 +1,138 @@
+"""Hosts the one decision module of this node: its clock, its timers, and every event, one at a time.
+
+No call that the module makes here leads back into it: pushes, cancels and timers run as tasks of their own,
+and answers are handed to the clients' side, which writes them later.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from thornladder import decide
+from thornladder.backends.pushes import Pushes
+from thornladder.discovery.watch import Watch
+from thornladder.exchange import Exchange
+from thornladder.interface import ListKind, Outcome
+from thornladder.messages import Answer, Ending, ListAnswer
+
+
+class Clock:
+    """Unix time as of the start, then by the monotonic clock: the list's start times fit as they are."""
+
+    def __init__(self) -> None:
+        self.offset = time.time() - time.monotonic()
+
+    def __call__(self) -> float:
+        return self.offset + time.monotonic()
+
+
+class NodeHost:
+    def __init__(self, clock: Clock, tasks: TaskGroup, log: Any) -> None:
+        self.clock, self.tasks, self.logger = clock, tasks, log
+        self.exchanges: dict[str, Exchange] = {}
+        self.node: decide.Node
+        self.pushes: Pushes
+        self.watch: Watch
+
+    def start(
+        self,
+        pushes: Pushes,
+        watch: Watch,
+        known: ListAnswer,
+        seed: int,
+        told: bool,
+        decisions: dict[str, Any],
+    ) -> None:
+        self.pushes, self.watch = pushes, watch
+        now = self.clock()
+        pushes.on_list(known)
+        self.node = decide.Node(self, seed=seed, now=now, **decisions)
+        self.node.on_list(now, ListKind.RESTORED, known.entries)
+        if told:
+            watch.start()
+
+    # The module's calls.
+
+    def push(self, invocation: str, backend: str, time_out: float) -> None:
+        self.pushes.start(self.exchanges[invocation], backend, time_out)
+
+    def cancel(self, invocation: str, number: int) -> None:
+        self.exchanges[invocation].scopes[number].cancel()
+
+    def nack(self, invocation: str, come_back: float) -> None:
+        self.exchanges[invocation].finish(Answer(Ending.NACKED, come_back))
+
+    def terminate(self, invocation: str) -> None:
+        self.exchanges[invocation].finish(Answer(Ending.TERMINATED))
+
+    def probe(self, backend: str) -> None:
+        self.pushes.probe(backend)
+
+    def set_timer(self, delay: float, name: str) -> None:
+        self.tasks.start_soon(self._timer, delay, name)
+
+    def watch_list(self) -> None:
+        self.watch.start()
+
+    def log(self, words: str) -> None:
+        self.logger.info(words)
+
+    # What happens.
+
+    def came(self, exchange: Exchange) -> bool:
+        """Takes an invocation; not one whose id is in hand, since ids tell invocations apart."""
+        if exchange.invocation.id in self.exchanges:
+            return False
+        self.exchanges[exchange.invocation.id] = exchange
+        self._tell(self.node.on_invocation, exchange.invocation)
+        self._settle(exchange)
+        return True
+
+    def client_gone(self, exchange: Exchange) -> None:
+        if exchange.over:
+            return
+        exchange.gone = True
+        self._tell(self.node.on_client_gone, exchange.invocation.id)
+        self._settle(exchange)
+
+    def push_ended(
+        self, exchange: Exchange, number: int, outcome: Outcome, sent: float, answer: Answer | None
+    ) -> None:
+        exchange.out -= 1
+        if answer is not None:
+            exchange.finish(answer)
+        took = self.clock() - sent
+        self._tell(self.node.on_push_ended, exchange.invocation.id, number, outcome, took, exchange.over)
+        self._settle(exchange)
+
+    def probe_ended(self, backend: str, outcome: Outcome) -> None:
+        self._tell(self.node.on_probe_ended, backend, outcome)
+
+    def list_told(self, answer: ListAnswer | None) -> None:
+        if answer is None:
+            self._tell(self.node.on_list, ListKind.UNAVAILABLE, [])
+            return
+        self.pushes.on_list(answer)
+        self._tell(self.node.on_list, answer.kind, answer.entries)
+
+    async def _timer(self, delay: float, name: str) -> None:
+        await anyio.sleep(delay)
+        self._tell(self.node.on_timer, name)
+
+    def _tell(self, event: Callable[..., None], *what: Any) -> None:
+        """An error in the decisions ends what is in hand, not the node."""
+        try:
+            event(self.clock(), *what)
+        except Exception:
+            self.logger.exception("a decision failed", event_name=event.__name__)
+
+    def _settle(self, exchange: Exchange) -> None:
+        """With nothing out the module has answered; should it have failed, the client is not left waiting."""
+        if exchange.out == 0:
+            exchange.finish(Answer(Ending.TERMINATED))
+            self.exchanges.pop(exchange.invocation.id, None)
--- /dev/null
+++ b/thornladder/http1.py
@@ -0,0 +1,131 @@
+"""An HTTP/1.1 connection on which this node asks: used for backends and for discovery."""
+
+from __future__ import annotations
+
+import select
+import socket
+from contextlib import suppress
+from enum import Enum
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream
+
+from thornladder.messages import MOST_BODY, Reply
+from thornladder.settings import Address
+
+
+class Stage(Enum):
+    """How far an asking had come."""
+
+    CONNECTING = "connecting"
+    WRITING = "writing"
+    SENT = "sent"
+    ANSWERING = "answering"
+
+
+class Cause(Enum):
+    """What ended it before there was an answer."""
+
+    NO_CONNECTION = "no connection"
+    BROKEN = "broken"
+    TIME_OUT = "time-out"
+    CANCELLED = "cancelled"
+    TOO_LATE = "too late"
+
+
+class Failure:
+    """An asking that ended without an answer, as a value."""
+
+    __slots__ = ("stage", "cause", "detail")
+
+    def __init__(self, stage: Stage, cause: Cause, detail: str = "") -> None:
+        self.stage, self.cause, self.detail = stage, cause, detail
+
+
+BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+
+
+class Line:
+    """One connection, one asking at a time. `stage` tells how far the present one is."""
+
+    def __init__(self, stream: SocketStream, now: float) -> None:
+        self.stream = stream
+        self.http = h11.Connection(h11.CLIENT)
+        self.stage = Stage.WRITING
+        self.idle_since = now
+        self.reusable = False
+        self.raw = stream.extra(SocketAttribute.raw_socket)
+
+    def stale(self) -> bool:
+        """Whether the other side has closed it, or said something that nobody asked for."""
+        if self.raw.fileno() < 0:
+            return True
+        watch = select.poll()
+        watch.register(self.raw.fileno(), select.POLLIN)
+        return bool(watch.poll(0))
+
+    async def ask(self, request: h11.Request, body: bytes = b"", most: int = MOST_BODY) -> Reply | Failure:
+        """Sends once and waits for the answer; whoever cancels this closes the connection."""
+        self.stage, self.reusable = Stage.WRITING, False
+        try:
+            data = self.http.send(request) or b""
+            if body:
+                data += self.http.send(h11.Data(data=body)) or b""
+            data += self.http.send(h11.EndOfMessage()) or b""
+            await self.stream.send(data)
+            self.stage = Stage.SENT
+            return await self._answer(most)
+        except BROKEN as error:
+            return Failure(self.stage, Cause.BROKEN, repr(error))
+        except h11.ProtocolError as error:
+            return Failure(self.stage, Cause.BROKEN, str(error))
+
+    async def _answer(self, most: int) -> Reply | Failure:
+        head: h11.Response | None = None
+        body = b""
+        while True:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    data = await self.stream.receive()
+                except anyio.EndOfStream:
+                    data = b""  # h11 tells whether the answer may end so
+                self.http.receive_data(data)
+            elif isinstance(event, h11.Response):
+                head, self.stage = event, Stage.ANSWERING
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+                if len(body) > most:
+                    return Failure(self.stage, Cause.BROKEN, "the answer is too long")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.InformationalResponse):
+                continue
+            else:
+                return Failure(self.stage, Cause.BROKEN, "the connection was closed")
+        assert head is not None
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+            self.reusable = not self.http.trailing_data[0]
+        return Reply(head.status_code, list(head.headers), body)
+
+    def cut(self) -> None:
+        """Ends both directions at once, before anything else that this node does goes out."""
+        with suppress(OSError):  # the other side was quicker
+            self.raw.shutdown(socket.SHUT_RDWR)
+
+    async def close(self) -> None:
+        self.cut()
+        with anyio.CancelScope(shield=True):
+            await self.stream.aclose()
+
+
+async def connect(address: Address, time_out: float, now: float) -> Line | Failure:
+    try:
+        with anyio.fail_after(time_out):
+            return Line(await anyio.connect_tcp(*address), now)
+    except TimeoutError:
+        return Failure(Stage.CONNECTING, Cause.NO_CONNECTION, "time-out")
+    except OSError as error:
+        return Failure(Stage.CONNECTING, Cause.NO_CONNECTION, repr(error))
--- /dev/null
+++ b/thornladder/messages.py
@@ -0,0 +1,225 @@
+"""HTTP messages to and from small typed values, decoded once and encoded once. PROTOCOL's words end here."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import h11
+
+from thornladder import interface as api
+from thornladder.fields import lookup, objects, parse, take
+from thornladder.settings import Address, address
+
+MOST_BODY = 64 * 1024
+Headers = list[tuple[bytes, bytes]]
+
+READY_PATH, LIVE_PATH = b"/health/ready", b"/health/live"
+LIST_PATH = "/registry/instances"
+STATES = {"in_service": api.State.RUNNING, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
+# They belong to one connection, or are written anew on the next.
+_OWN_TO_A_CONNECTION = frozenset(
+    (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+     b"content-length", b"expect", b"x-budget-ms")
+)  # fmt: skip
+_ID = re.compile(rb"[\x21-\x7e]{1,128}")
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    """What goes on to a backend as it came."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class BadInput:
+    """What a client sent cannot be taken."""
+
+    status: int
+    words: str
+
+
+class Ending(Enum):
+    COMPLETED = "completed"
+    NACKED = "nacked"
+    TERMINATED = "terminated"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The final answer to an invocation."""
+
+    ending: Ending
+    come_back: float = 0.0
+    headers: Headers | None = None
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What came back on a connection on which this node asked."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ListAnswer:
+    """What discovery has told."""
+
+    version: int
+    kind: api.ListKind
+    entries: list[api.Entry]
+    addresses: dict[str, Address]
+
+
+def _passed_on(headers: Headers) -> Headers:
+    return [(name, value) for name, value in headers if name not in _OWN_TO_A_CONNECTION]
+
+
+# Clients.
+
+
+def decode_invocation(
+    request: h11.Request, body: bytes, offerings: Mapping[str, api.Offering]
+) -> tuple[api.Invocation, Message] | BadInput:
+    headers = list(request.headers)
+    found = dict(headers)
+    path, _, query = request.target.partition(b"?")
+    name = path.split(b"/", 2)[1].decode("ascii", "replace") if path.startswith(b"/") else ""
+    offering = offerings.get(name)
+    if offering is None:
+        return BadInput(404, "unknown offering")
+    id = found.get(b"x-call-id", b"")
+    if not _ID.fullmatch(id):
+        return BadInput(400, "X-Call-Id is missing or malformed")
+    budget = found.get(b"x-budget-ms")
+    if budget is not None and not (budget.isdigit() and len(budget) <= 9):
+        return BadInput(400, "X-Budget-Ms must be whole milliseconds")
+    time_left = offering.cut_off if budget is None else min(int(budget) / 1000.0, offering.cut_off)
+    invocation = api.Invocation(
+        id=id.decode(),
+        offering=name,
+        tenant=found.get(b"x-caller", b"").decode("latin-1"),
+        time_left=time_left,
+        hint=0.0,
+        key=None,
+        again=found.get(b"x-again") == b"1",
+    )
+    return invocation, Message(request.method, request.target, _passed_on(headers), body)
+
+
+def _figures(text: bytes) -> dict[bytes, bytes]:
+    """`name=value,name=value`; what has no value is skipped."""
+    pairs = (part.partition(b"=") for part in text.split(b",") if b"=" in part)
+    return {name.strip(): value.strip() for name, _, value in pairs}
+
+
+def encode_answer(answer: Answer, closing: bool) -> tuple[h11.Response, bytes]:
+    headers: Headers = []
+    body = answer.body
+    if answer.ending is Ending.COMPLETED:
+        status = 200
+        headers += _passed_on(answer.headers or [])
+    elif answer.ending is Ending.NACKED:
+        status, body = 503, b"nacked\n"
+        if answer.come_back > 0.0:
+            headers.append((b"Retry-After", b"%.3f" % answer.come_back))
+    else:
+        status, body = 502, b"terminated\n"
+    return _response(status, headers, body, closing)
+
+
+def encode_plain(status: int, words: str, closing: bool) -> tuple[h11.Response, bytes]:
+    """An answer that concerns no invocation: readiness, bad input."""
+    return _response(status, [(b"Content-Type", b"text/plain")], words.encode() + b"\n", closing)
+
+
+def _response(status: int, headers: Headers, body: bytes, closing: bool) -> tuple[h11.Response, bytes]:
+    headers.append((b"Content-Length", b"%d" % len(body)))
+    if closing:
+        headers.append((b"Connection", b"close"))
+    return h11.Response(status_code=status, headers=headers, reason=_REASONS.get(status, b"")), body
+
+
+_REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    413: b"Content Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+}
+
+
+# Backends.
+
+
+def encode_push(message: Message, time_left: float) -> h11.Request:
+    headers = list(message.headers)
+    headers.append((b"X-Budget-Ms", b"%d" % max(int(time_left * 1000.0), 1)))
+    if message.body or message.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+        headers.append((b"Content-Length", b"%d" % len(message.body)))
+    return h11.Request(method=message.method, target=message.target, headers=headers)
+
+
+def encode_probe(host: str) -> h11.Request:
+    return h11.Request(method=b"GET", target=LIVE_PATH, headers=[(b"Host", host.encode())])
+
+
+def outcome_of(reply: Reply) -> api.Outcome:
+    if reply.status == 200:
+        return api.Outcome.COMPLETED
+    if reply.status in (503, 504) and (b"x-rejected", b"1") in reply.headers:
+        return api.Outcome.FULL
+    return api.Outcome.ERRED
+
+
+def completed(reply: Reply) -> Answer:
+    return Answer(Ending.COMPLETED, headers=reply.headers, body=reply.body)
+
+
+# Discovery.
+
+
+def encode_watch(host: str, version: int | None, wait: float) -> h11.Request:
+    target = LIST_PATH if version is None else f"{LIST_PATH}?from={version}&hold_ms={round(wait * 1000.0)}"
+    return h11.Request(method=b"GET", target=target.encode(), headers=[(b"Host", host.encode())])
+
+
+def decode_list(body: bytes | dict[str, Any]) -> ListAnswer:
+    message = parse(body) if isinstance(body, bytes) else body
+    whole = take(message, "reset", bool, False)
+    answer = ListAnswer(
+        version=take(message, "generation", int),
+        kind=api.ListKind.WHOLE if whole else api.ListKind.CHANGES,
+        entries=[],
+        addresses={},
+    )
+    for line in objects(message, "instances"):
+        id = take(line, "instanceId", str)
+        started = take(line, "startedAtMs", int, 0)
+        weight = line.get("weight")
+        entry = api.Entry(
+            backend=id,
+            state=lookup(STATES, line, "lifecycle"),
+            zone=take(line, "zone", str, ""),
+            cell=take(line, "cell", int, 0),
+            weight=None if weight is None else take(line, "weight", float),
+            started_at=started / 1000.0 if started else None,
+            machine=take(line, "machineType", str, ""),
+        )
+        answer.entries.append(entry)
+        if entry.state is not api.State.GONE:
+            answer.addresses[id] = address(take(line, "hostPort", str))
+    return answer
+
+
--- /dev/null
+++ b/thornladder/service.py
@@ -0,0 +1,62 @@
+"""Puts a node together and runs it until it is told to end."""
+
+from __future__ import annotations
+
+import signal
+from typing import Any
+
+import anyio
+from anyio.abc import TaskGroup
+
+from thornladder.backends.pool import Pool
+from thornladder.backends.pushes import Pushes
+from thornladder.clients.connection import Desk
+from thornladder.clients.front import Front
+from thornladder.discovery.watch import Watch
+from thornladder.host import Clock, NodeHost
+from thornladder.messages import ListAnswer
+from thornladder.settings import Config
+
+SWEEP = 0.5  # seconds between looks at idle connections: often against the shortest idle time
+SPARE = 64  # descriptors for all but connections of clients and to backends, those being closed among them
+BACKLOG = 1024  # connections that the kernel may accept before the node does
+
+
+async def run(config: Config, known: ListAnswer, log: Any) -> None:
+    clock = Clock()
+    listener = (await anyio.create_tcp_listener(
+        local_host=config.listen[0], local_port=config.listen[1], backlog=BACKLOG
+    )).listeners[0]  # fmt: skip
+    # An invocation holds a client's connection and seldom more than one to a backend.
+    each = max((config.sockets - SPARE) // 2, 8)
+    async with anyio.create_task_group() as tasks:
+        host = NodeHost(clock, tasks, log)
+        transport = config.transport
+        pool = Pool(each, transport.idle_close, transport.connect_time_out, clock)
+        pushes = Pushes(pool, transport.drain_grace, tasks, host, clock)
+        watch = Watch(config.discovery, known.version, tasks, host.list_told)
+        host.start(pushes, watch, known, config.seed, config.list_is_told, config.decisions)
+        desk = Desk(host, host.node.offerings, clock, log)
+        front = Front(desk, each, tasks)
+        tasks.start_soon(_sweep, front, pushes)
+        tasks.start_soon(front.run, listener)
+        tasks.start_soon(_end_on_signal, front, tasks, log)
+        log.info("serving", name=config.name, listen=list(config.listen), backends=len(known.entries))
+
+
+async def _sweep(front: Front, pushes: Pushes) -> None:
+    while True:
+        await anyio.sleep(SWEEP)
+        front.sweep()
+        pushes.forget()
+        await pushes.pool.sweep()
+
+
+async def _end_on_signal(front: Front, tasks: TaskGroup, log: Any) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            log.info("leaving", signal=number.name)
+            await front.leave()
+            log.info("left")
+            tasks.cancel_scope.cancel()
+            return
--- /dev/null
+++ b/thornladder/settings.py
@@ -0,0 +1,133 @@
+"""What a node is told at its start: the settings, the same on the wire and on sockets, and its own file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from thornladder import interface as api
+from thornladder.fields import Malformed, lookup, objects, parse, seconds, take
+
+KINDS = {"free": api.Kind.REPEATABLE, "guarded": api.Kind.TAGGED, "single_shot": api.Kind.ONCE_ONLY}
+
+Address = tuple[str, int]
+
+
+def decisions(info: dict[str, Any]) -> dict[str, Any]:
+    """The keyword arguments of `decide.Node` that come from the settings."""
+    limits = take(info, "PolicyLimits", dict)
+    rules = take(info, "Rules", dict)
+    offerings = objects(info, "Classes")
+    if not offerings:
+        raise Malformed("Classes must not be empty")
+    return {
+        "zone": take(info, "Az", str, ""),
+        "rank": take(info, "Rank", int, 0),
+        "nodes": max(1, take(info, "ReplicasOfMe", int)),
+        "offerings": [_offering(line) for line in offerings],
+        "tenants": [_tenant(line) for line in objects(info, "Tenants")],
+        "over_share_worth": take(info, "OverShareWorth", float, 1.0),
+        "utility_by_work": take(info, "ValueBy", str, "request") == "work",
+        "limits": api.Limits(
+            max_pushes=take(limits, "MaxAttempts", int),
+            second_copies=take(limits, "SecondCopies", bool, False),
+            cancelling=take(limits, "Cancelling", bool, False),
+            probes=take(limits, "Probes", bool, False),
+            come_back=seconds(limits, "MaxRetryAfter", 0.0)
+            if take(limits, "RetryAfter", bool, False)
+            else 0.0,
+        ),
+        "cold": api.ColdRule(
+            share=take(rules, "ColdShare", float),
+            warm_up=seconds(rules, "WarmUp"),
+            multiple=take(rules, "FallMultiple", float),
+            span=seconds(rules, "Fall"),
+        ),
+        "must_ask_in": 0.0 if list_is_told(info) else seconds(rules, "MustAskIn", 10.0),
+    }
+
+
+def list_is_told(info: dict[str, Any]) -> bool:
+    """Whether changes of the list come unasked, as far as the decisions go."""
+    return info.get("Discovery") != "on_request"
+
+
+def _offering(line: dict[str, Any]) -> api.Offering:
+    return api.Offering(
+        name=take(line, "Name", str),
+        kind=lookup(KINDS, line, "Effect"),
+        group=take(line, "Group", str, "all"),
+        window=seconds(line, "Window", 0.0),
+        target_time=seconds(line, "Aim"),
+        cut_off=seconds(line, "HardLimit"),
+        utility=take(line, "Worth", float),
+        late_share=take(line, "LateWorth", float, 0.0),
+    )
+
+
+def _tenant(line: dict[str, Any]) -> api.Tenant:
+    return api.Tenant(
+        name=take(line, "Name", str),
+        share=take(line, "Share", float),
+        allowance=take(line, "AllowancePerS", float, 0.0),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Transport:
+    """What the settings say of connections."""
+
+    connect_time_out: float
+    idle_close: float  # after this a backend has closed an idle connection at the latest
+    drain_grace: float
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """The node's own file, decoded."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: dict[str, Any]  # the list as it was, in discovery's form
+    decisions: dict[str, Any]
+    transport: Transport
+    list_is_told: bool
+
+
+def load(path: str) -> Config:
+    try:
+        message = parse(Path(path).read_bytes())
+    except OSError as error:
+        raise Malformed(f"cannot be read: {error.strerror}") from None
+    info = take(message, "settings", dict)
+    limits, rules = take(info, "PolicyLimits", dict), take(info, "Rules", dict)
+    try:
+        seed = int(take(message, "seed", str), 16)
+    except ValueError:
+        raise Malformed("seed must be hex digits") from None
+    return Config(
+        name=take(message, "name", str, ""),
+        listen=address(take(message, "listen", str)),
+        discovery=address(take(message, "discovery", str)),
+        seed=seed,
+        sockets=take(take(message, "limits", dict, {}), "sockets", int, 1024),
+        known=take(message, "known", dict, {}),
+        decisions=decisions(info),
+        transport=Transport(
+            connect_time_out=seconds(limits, "ConnectTimeout", 0.25),
+            idle_close=seconds(limits, "IdleClose", 15.0),
+            drain_grace=seconds(rules, "DrainGrace", 1.0),
+        ),
+        list_is_told=list_is_told(info),
+    )
+
+
+def address(text: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not (colon and host and port.isdecimal() and 0 <= int(port) < 65536):
+        raise Malformed(f"{text!r} is not an address and port")
+    return host.strip("[]"), int(port)
