--- a/thornladder/backends/pool.py
+++ b/thornladder/backends/pool.py
@@ -20,7 +20,7 @@
         self.keep = max(idle_close - self.MARGIN, 0.5 * idle_close)
         self.idle: defaultdict[str, list[Line]] = defaultdict(list)  # the last one used goes first
         self.held = 0  # connections, and attempts at one
-        self.left: list[Line] = []  # cut, to be closed
+        self.left: list[Line] = []  # to be closed
 
     async def get(self, backend: str, address: Address) -> Line | Failure:
         """A connection on which nothing is out: an idle one that still stands, or a new one."""
@@ -71,7 +71,6 @@
             await line.close()
 
     def _leave(self, line: Line) -> None:
-        line.cut()
         self.left.append(line)
         self.held -= 1
 
--- a/thornladder/http1.py
+++ b/thornladder/http1.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import select
-import socket
-from contextlib import suppress
 from enum import Enum
 
 import anyio
@@ -55,14 +53,15 @@
         self.stage = Stage.WRITING
         self.idle_since = now
         self.reusable = False
-        self.raw = stream.extra(SocketAttribute.raw_socket)
+        self.fd = stream.extra(SocketAttribute.raw_socket).fileno()
 
     def stale(self) -> bool:
-        """Whether the other side has closed it, or said something that nobody asked for."""
-        if self.raw.fileno() < 0:
-            return True
+        """Whether the other side has closed it, or said something that nobody asked for.
+
+        Only for an idle connection: nothing is read from it then, so that nothing else closes it.
+        """
         watch = select.poll()
-        watch.register(self.raw.fileno(), select.POLLIN)
+        watch.register(self.fd, select.POLLIN)
         return bool(watch.poll(0))
 
     async def ask(self, request: h11.Request, body: bytes = b"", most: int = MOST_BODY) -> Reply | Failure:
@@ -110,13 +109,8 @@
             self.reusable = not self.http.trailing_data[0]
         return Reply(head.status_code, list(head.headers), body)
 
-    def cut(self) -> None:
-        """Ends both directions at once, before anything else that this node does goes out."""
-        with suppress(OSError):  # the other side was quicker
-            self.raw.shutdown(socket.SHUT_RDWR)
-
     async def close(self) -> None:
-        self.cut()
+        """Ends both directions; when this returns nothing more goes out on the connection."""
         with anyio.CancelScope(shield=True):
             await self.stream.aclose()
 
--- a/thornladder/messages.py
+++ b/thornladder/messages.py
@@ -11,7 +11,7 @@
 import h11
 
 from thornladder import interface as api
-from thornladder.fields import lookup, objects, parse, take
+from thornladder.fields import MICRO, lookup, objects, parse, take
 from thornladder.settings import Address, address
 
 MOST_BODY = 64 * 1024
@@ -26,6 +26,7 @@
      b"content-length", b"expect", b"x-budget-ms")
 )  # fmt: skip
 _ID = re.compile(rb"[\x21-\x7e]{1,128}")
+_KEY = re.compile(rb"(?:^|&)key=([0-9a-fA-F]{1,16})(?:&|$)")
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,22 +106,22 @@
     if budget is not None and not (budget.isdigit() and len(budget) <= 9):
         return BadInput(400, "X-Budget-Ms must be whole milliseconds")
     time_left = offering.cut_off if budget is None else min(int(budget) / 1000.0, offering.cut_off)
+    cost = found.get(b"x-call-cost", b"")
     invocation = api.Invocation(
         id=id.decode(),
         offering=name,
         tenant=found.get(b"x-caller", b"").decode("latin-1"),
         time_left=time_left,
-        hint=0.0,
-        key=None,
+        hint=int(cost) / MICRO if cost.isdigit() and len(cost) <= 12 else 0.0,
+        key=_key(query),
         again=found.get(b"x-again") == b"1",
     )
     return invocation, Message(request.method, request.target, _passed_on(headers), body)
 
 
-def _figures(text: bytes) -> dict[bytes, bytes]:
-    """`name=value,name=value`; what has no value is skipped."""
-    pairs = (part.partition(b"=") for part in text.split(b",") if b"=" in part)
-    return {name.strip(): value.strip() for name, _, value in pairs}
+def _key(query: bytes) -> int | None:
+    found = _KEY.search(query)
+    return int(found[1], 16) if found else None
 
 
 def encode_answer(answer: Answer, closing: bool) -> tuple[h11.Response, bytes]:
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -41,7 +41,10 @@
         tasks.start_soon(_sweep, front, pushes)
         tasks.start_soon(front.run, listener)
         tasks.start_soon(_end_on_signal, front, tasks, log)
-        log.info("serving", name=config.name, listen=list(config.listen), backends=len(known.entries))
+        log.info(
+            "serving", name=config.name, listen=list(config.listen), backends=len(known.entries),
+            cores=config.cores, sockets=config.sockets,
+        )  # fmt: skip
 
 
 async def _sweep(front: Front, pushes: Pushes) -> None:
--- a/thornladder/settings.py
+++ b/thornladder/settings.py
@@ -91,6 +91,7 @@
     listen: Address
     discovery: Address
     seed: int
+    cores: float
     sockets: int
     known: dict[str, Any]  # the list as it was, in discovery's form
     decisions: dict[str, Any]
@@ -105,6 +106,7 @@
         raise Malformed(f"cannot be read: {error.strerror}") from None
     info = take(message, "settings", dict)
     limits, rules = take(info, "PolicyLimits", dict), take(info, "Rules", dict)
+    given = take(message, "limits", dict, {})
     try:
         seed = int(take(message, "seed", str), 16)
     except ValueError:
@@ -114,7 +116,8 @@
         listen=address(take(message, "listen", str)),
         discovery=address(take(message, "discovery", str)),
         seed=seed,
-        sockets=take(take(message, "limits", dict, {}), "sockets", int, 1024),
+        cores=take(given, "cores", float, 1.0),
+        sockets=take(given, "sockets", int, 1024),
         known=take(message, "known", dict, {}),
         decisions=decisions(info),
         transport=Transport(
