A HEAD is answered without a body; sockets counted until closed; a planned end is bounded

Found by a seeded test of mangled bytes and by reading: a body after HEAD broke the connection's encoder, connections to be closed were no longer counted, and a half-sent invocation would have kept a leaving node until it was killed. A watch that goes on without news no longer rebuilds the rotation. A node without a known list asks for the whole one.

--- a/thornladder/__main__.py
+++ b/thornladder/__main__.py
@@ -12,7 +12,7 @@
 
 from thornladder import service, settings
 from thornladder.fields import Malformed
-from thornladder.messages import decode_list
+from thornladder.messages import NO_LIST, decode_list
 
 
 def main() -> int:
@@ -22,7 +22,7 @@
         return 2
     try:
         config = settings.load(path)
-        known = decode_list(config.known)
+        known = decode_list(config.known) if config.known else NO_LIST
     except Malformed as error:
         print(f"thornladder: {path}: {error}", file=sys.stderr)
         return 2
--- a/thornladder/backends/pool.py
+++ b/thornladder/backends/pool.py
@@ -29,9 +29,12 @@
             line = lines.pop()
             if self.clock() - line.idle_since < self.keep and not line.stale():
                 return line
-            self._leave(line)
-        if self.held >= self.most and not self._spare_one():
-            return Failure(Stage.CONNECTING, Cause.TOO_LATE)  # no descriptor to spare
+            self.left.append(line)
+        if self.held >= self.most:
+            self._spare_one()
+            await self._close_left()
+            if self.held >= self.most:
+                return Failure(Stage.CONNECTING, Cause.TOO_LATE)
         self.held += 1
         line: Line | Failure | None = None
         try:
@@ -47,13 +50,12 @@
             line.idle_since = self.clock()
             self.idle[backend].append(line)
             return
-        self.held -= 1
-        await line.close()
+        self.left.append(line)
+        await self._close_left()
 
     def drop(self, backend: str) -> None:
         """Nothing new goes to this backend: its idle connections are of no use."""
-        for line in self.idle.pop(backend, ()):
-            self._leave(line)
+        self.left += self.idle.pop(backend, ())
 
     async def sweep(self) -> None:
         """Closes what has stood idle for long or was closed by the other side."""
@@ -63,22 +65,16 @@
             good = [line for line in lines if now - line.idle_since < self.keep and not line.stale()]
             if good:
                 self.idle[backend] = good
-            for line in lines:
-                if line not in good:
-                    self._leave(line)
-        left, self.left = self.left, []
-        for line in left:
-            await line.close()
+            self.left += (line for line in lines if line not in good)
+        await self._close_left()
 
-    def _leave(self, line: Line) -> None:
-        self.left.append(line)
-        self.held -= 1
+    async def _close_left(self) -> None:
+        while self.left:
+            await self.left.pop().close()
+            self.held -= 1
 
-    def _spare_one(self) -> bool:
+    def _spare_one(self) -> None:
         """Gives up the idle connection that has stood longest, so that another backend can have one."""
         lines = [lines for lines in self.idle.values() if lines]
-        if not lines:
-            return False
-        oldest = min(lines, key=lambda each: each[0].idle_since)
-        self._leave(oldest.pop(0))
-        return True
+        if lines:
+            self.left.append(min(lines, key=lambda each: each[0].idle_since).pop(0))
--- a/thornladder/clients/connection.py
+++ b/thornladder/clients/connection.py
@@ -190,10 +190,12 @@
 
     def _answer(self, response: h11.Response, body: bytes) -> None:
         """Encodes an answer for the writing task; the connection is ready for the next invocation."""
+        head_only = self.request is not None and self.request.method == b"HEAD"
         self.request = None
         self.body.clear()
         data = self.http.send(response) or b""
-        data += self.http.send(h11.Data(data=body)) or b""
+        if body and not head_only:
+            data += self.http.send(h11.Data(data=body)) or b""
         data += self.http.send(h11.EndOfMessage()) or b""
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self.closing:
             self.http.start_next_cycle()
--- a/thornladder/clients/front.py
+++ b/thornladder/clients/front.py
@@ -75,14 +75,19 @@
             self.held -= 1
 
     async def leave(self) -> None:
-        """Sees everybody out: takes what still comes, answers what is at hand, closes the rest."""
+        """Sees everybody out: takes what still comes, answers what is at hand, closes the rest.
+
+        What is at hand is answered by the longest cut-off; what has not come whole by then never was taken.
+        """
         self.desk.leaving = True
-        await anyio.sleep(self.ACCEPT_FOR)
-        self.accepting.cancel()
-        await anyio.sleep(self.QUIET + self.SETTLE)
-        while not all(connection.done for connection in self.connections):
-            self._close_idle(len(self.connections))
-            await anyio.sleep(0.02)
+        longest = max(offering.cut_off for offering in self.desk.offerings.values())
+        with anyio.move_on_after(self.ACCEPT_FOR + longest):
+            await anyio.sleep(self.ACCEPT_FOR)
+            self.accepting.cancel()
+            await anyio.sleep(self.QUIET + self.SETTLE)
+            while not all(connection.done for connection in self.connections):
+                self._close_idle(len(self.connections))
+                await anyio.sleep(0.02)
         await anyio.sleep(self.SETTLE)
 
     def sweep(self) -> None:
--- a/thornladder/discovery/watch.py
+++ b/thornladder/discovery/watch.py
@@ -10,6 +10,7 @@
 from thornladder import http1, messages
 from thornladder.fields import Malformed
 from thornladder.http1 import Failure, Line
+from thornladder.interface import ListKind
 from thornladder.messages import ListAnswer
 from thornladder.settings import Address
 
@@ -44,8 +45,9 @@
             answer = await self._call(wait)
             if answer is None:
                 break
+            if not wait or answer.entries or answer.kind is ListKind.WHOLE:
+                self.tell(answer)
             self.version, wait = answer.version, self.HOLD
-            self.tell(answer)
         self.running = False
         self.tell(None)
 
--- a/thornladder/host.py
+++ b/thornladder/host.py
@@ -115,6 +115,7 @@
 
     def list_told(self, answer: ListAnswer | None) -> None:
         if answer is None:
+            self.logger.warning("a call for the list failed")
             self._tell(self.node.on_list, ListKind.UNAVAILABLE, [])
             return
         self.pushes.on_list(answer)
--- a/thornladder/messages.py
+++ b/thornladder/messages.py
@@ -77,7 +77,7 @@
 class ListAnswer:
     """What discovery has told."""
 
-    version: int
+    version: int | None
     kind: api.ListKind
     entries: list[api.Entry]
     addresses: dict[str, Address]
@@ -198,6 +198,10 @@
     return h11.Request(method=b"GET", target=target.encode(), headers=[(b"Host", host.encode())])
 
 
+# A node that never had a list asks for the whole one.
+NO_LIST = ListAnswer(None, api.ListKind.WHOLE, [], {})
+
+
 def decode_list(body: bytes | dict[str, Any]) -> ListAnswer:
     message = parse(body) if isinstance(body, bytes) else body
     whole = take(message, "reset", bool, False)
