--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -166,7 +166,7 @@
 
 
 async def test_idle_connections_make_room_for_others() -> None:
-    async with Bank(done, sockets=80) as bank:
+    async with Bank(done, sockets=50) as bank:
         held = [await bank.client() for _ in range(30)]
         assert all([(await bank.ask(f"a{number}", "look")).target == "200" for number in range(4)])
         assert len(held) == 30
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -19,24 +19,25 @@
 from thornladder.settings import Config
 
 SWEEP = 0.5  # seconds between looks at idle connections: often against the shortest idle time
-SPARE = 64  # descriptors for all but connections of clients and to backends, those being closed among them
+SPARE = 24  # descriptors for all but connections of clients and to backends: a dozen, and as many to spare
+CLIENTS = 0.6  # of the rest are for clients: an invocation holds one, and seldom more than one to a backend
 
 
 async def run(config: Config, known: ListAnswer, log: Any) -> None:
     clock = Clock()
     listener = socket.create_server(config.listen, backlog=Front.BACKLOG)
     listener.setblocking(False)
-    # An invocation holds a client's connection and seldom more than one to a backend.
-    each = max((config.sockets - SPARE) // 2, 8)
+    sockets = max(config.sockets - SPARE, 8)
+    clients = round(CLIENTS * sockets)
     async with anyio.create_task_group() as tasks:
         host = NodeHost(clock, tasks, log)
         transport = config.transport
-        pool = Pool(each, transport.idle_close, transport.connect_time_out, clock)
+        pool = Pool(sockets - clients, transport.idle_close, transport.connect_time_out, clock)
         pushes = Pushes(pool, transport.drain_grace, tasks, host, clock, log)
         watch = Watch(config.discovery, known.version, tasks, host.list_told)
         host.start(pushes, watch, known, config.seed, config.list_is_told, config.decisions)
         desk = Desk(host, host.node.offerings, clock, log)
-        front = Front(desk, each, tasks)
+        front = Front(desk, clients, tasks)
         tasks.start_soon(_sweep, front, pushes)
         tasks.start_soon(front.run, listener)
         tasks.start_soon(_end_on_signal, front, tasks, log)
