--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# What a newcomer needs: build, test, lint, run.
+
+.PHONY: build test lint run clean
+
+build: .venv/requirements.done
+
+.venv/requirements.done: requirements.txt
+	rm -rf .venv
+	python3 -m venv .venv
+	.venv/bin/python -m pip -q install -r requirements.txt
+	cp requirements.txt $@
+
+.venv-dev/done: requirements.txt pyproject.toml
+	rm -rf .venv-dev
+	python3 -m venv .venv-dev
+	.venv-dev/bin/python -m pip -q install -r requirements.txt 'pytest>=8,<10' 'ruff>=0.6,<1'
+	touch $@
+
+test: .venv-dev/done
+	.venv-dev/bin/python -m pytest -q
+
+lint: .venv-dev/done
+	.venv-dev/bin/ruff check .
+
+# EDGE_CONFIG names the node's file.
+run: build
+	exec .venv/bin/python -B -m thornladder
+
+clean:
+	rm -rf .venv .venv-dev
