A large push hands over its last byte apart: what was given up in a write may have run

Found by reading the streams library: a push of more than the kernel takes at once waits for its buffer to drain. If a cancel, a time-out or a break came in the same turn in which the buffer drained, the push counted as never run although its last byte was out; a once-only one could then have gone out twice. Small ones are written in one go and cannot be caught so. What both sides need of a stream now stands in one place; an answer counts as out once it is sent.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -7,11 +7,12 @@
 from contextlib import suppress
 
 import anyio
+import h11
 import pytest
 from harness import Bank, Got, Peer, listed, news, reply, until
 
 from thornladder.backends.pushes import outcome_of
-from thornladder.http1 import Cause, Failure, Stage
+from thornladder.http1 import Cause, Failure, Line, Stage
 from thornladder.interface import Outcome
 from thornladder.messages import MOST_BODY, Reply
 
@@ -265,6 +266,35 @@
         assert sum(answer.target == "200" for answer in answers.values()) > 60
 
 
+class Giving:
+    """A stream that breaks at its n-th send."""
+
+    def __init__(self, sends: int) -> None:
+        self.left, self.sent = sends, b""
+
+    async def send(self, data: bytes) -> None:
+        self.left -= 1
+        if self.left < 0:
+            raise anyio.BrokenResourceError
+        self.sent += data
+
+    async def receive(self) -> bytes:
+        raise anyio.EndOfStream
+
+
+@pytest.mark.parametrize(
+    ("size", "sends", "stage"),
+    [(10, 0, Stage.WRITING), (10, 1, Stage.SENT), (9000, 0, Stage.WRITING), (9000, 1, Stage.SENT),
+     (9000, 2, Stage.SENT)],
+)  # fmt: skip
+async def test_a_large_push_is_sure_not_to_have_run_only_before_its_last_byte(size, sends, stage) -> None:
+    stream = Giving(sends)
+    line = Line(stream, 0.0)
+    request = h11.Request(method="POST", target="/", headers=[("Host", "a"), ("Content-Length", str(size))])
+    assert await line.ask(request, b"x" * size) == Failure(stage, Cause.BROKEN)
+    assert stream.sent.endswith(b"x" * size) == (stage is Stage.SENT and (size < 4096 or sends == 2))
+
+
 def test_only_what_surely_never_ran_is_called_so() -> None:
     def ends(cause: Cause) -> list[Outcome]:
         return [outcome_of(Failure(stage, cause)) for stage in Stage]
--- a/thornladder/clients/connection.py
+++ b/thornladder/clients/connection.py
@@ -2,20 +2,18 @@
 
 from __future__ import annotations
 
-import select
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
 
 from thornladder import messages
 from thornladder.exchange import Exchange
 from thornladder.interface import Offering
 from thornladder.messages import MOST_BODY, Answer, BadInput
-
-BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
+from thornladder.streams import BROKEN, readable
 
 
 class Taker(Protocol):
@@ -42,7 +40,6 @@
     def __init__(self, stream: SocketStream, desk: Desk) -> None:
         self.stream, self.desk = stream, desk
         self.http = h11.Connection(h11.SERVER)
-        self.raw = stream.extra(SocketAttribute.raw_socket)
         self.request: h11.Request | None = None
         self.body = bytearray()
         self.exchange: Exchange | None = None
@@ -80,17 +77,10 @@
 
     def close_idle(self) -> None:
         """Ends an idle connection; what the client has under way it sends again on another."""
-        if self.idle and not self._readable():
+        if self.idle and not readable(self.stream):
             self.closing = True
             self.wake.set()
 
-    def _readable(self) -> bool:
-        if self.raw.fileno() < 0:
-            return False
-        watch = select.poll()
-        watch.register(self.raw.fileno(), select.POLLIN)
-        return bool(watch.poll(0))
-
     async def _read(self) -> None:
         while True:
             try:
@@ -113,9 +103,10 @@
             while True:
                 await self.wake.wait()
                 self.wake = anyio.Event()
-                data, self.outbox = self.outbox, b""
-                if data:
+                if self.outbox:
+                    data = self.outbox
                     await self.stream.send(data)
+                    self.outbox = self.outbox[len(data) :]
                     self.since = self.desk.clock()
                 if self.closing and not self.outbox:
                     break
--- a/thornladder/http1.py
+++ b/thornladder/http1.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-import select
 from enum import Enum
 from typing import NamedTuple
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import SocketStream
 
 from thornladder.messages import MOST_BODY, Reply
 from thornladder.settings import Address
+from thornladder.streams import BROKEN, readable
 
 
 class Stage(Enum):
@@ -40,28 +40,24 @@
     cause: Cause
 
 
-BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
-
-
 class Line:
     """One connection, one asking at a time. `stage` tells how far the present one is."""
 
+    AT_ONCE = 4096  # bytes that a kernel takes in one go on a connection with nothing under way
+
     def __init__(self, stream: SocketStream, now: float) -> None:
         self.stream = stream
         self.http = h11.Connection(h11.CLIENT)
         self.stage = Stage.WRITING
         self.idle_since = now
         self.reusable = False
-        self.fd = stream.extra(SocketAttribute.raw_socket).fileno()
 
     def stale(self) -> bool:
         """Whether the other side has closed it, or said something that nobody asked for.
 
         Only for an idle connection: nothing is read from it then, so that nothing else closes it.
         """
-        watch = select.poll()
-        watch.register(self.fd, select.POLLIN)
-        return bool(watch.poll(0))
+        return readable(self.stream)
 
     async def ask(self, request: h11.Request, body: bytes = b"", most: int = MOST_BODY) -> Reply | Failure:
         """Sends once and waits for the answer; whoever cancels this closes the connection."""
@@ -71,6 +67,11 @@
             if body:
                 data += self.http.send(h11.Data(data=body)) or b""
             data += self.http.send(h11.EndOfMessage()) or b""
+            if len(data) > self.AT_ONCE:
+                # Guards against a write that was still under way when it was given up, and was whole by then:
+                # until the last byte is handed over it surely never ran, from then on it may have.
+                await self.stream.send(data[:-1])
+                data, self.stage = data[-1:], Stage.SENT
             await self.stream.send(data)
             self.stage = Stage.SENT
             return await self._answer(most)
