The watch's pace ended the node: a negative sleep; waits are now until a moment

The rest of the pace is negative after every call that has waited, and the streams library takes that as an error; the test of the pace used calls shorter than it. A test with a pace of nought fails on the old text.

--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -143,6 +143,16 @@
         assert (await other.ask("aa", "look")).target == "200"
 
 
+async def test_a_watch_outlives_calls_that_take_longer_than_its_pace(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Ended the node: the rest of the pace came out negative after a call that had waited.
+    monkeypatch.setattr(Watch, "PACE", 0.0)
+    async with Bank(done) as bank:
+        bank.discovery.answer = lambda _: news(1)
+        await until(lambda: len(bank.discovery.got) >= 10)
+        assert (await bank.ask("aa", "look")).target == "200"
+        assert bank.log.facts("a call for the list failed") is None
+
+
 async def test_the_list_is_watched_and_a_drain_kept() -> None:
     def answer(got: Got) -> bytes | None:
         if "from=1&" in got.target and not got.target.endswith("=0"):
--- a/thornladder/discovery/watch.py
+++ b/thornladder/discovery/watch.py
@@ -44,10 +44,12 @@
             self.tasks.start_soon(self._run)
 
     async def _run(self) -> None:
-        wait = 0.0
+        wait = due = 0.0
         while True:
-            began = anyio.current_time()
             try:
+                # Guards against a service that answers at once whatever the wait: calls without end.
+                await anyio.sleep_until(due)
+                due = anyio.current_time() + self.PACE
                 answer = await self._call(wait)
             except Exception:
                 # Nothing is foreseen here; it ends this watch, and not the node.
@@ -58,8 +60,6 @@
             if not wait or answer.entries or answer.kind is ListKind.WHOLE:
                 self.tell(answer)
             self.version, wait = answer.version, self.HOLD
-            # Guards against a service that answers at once whatever the wait: calls without end.
-            await anyio.sleep(began + self.PACE - anyio.current_time())
         self.running = False
         self.tell(None)
 
--- a/thornladder/host.py
+++ b/thornladder/host.py
@@ -143,7 +143,7 @@
 
     async def _timer(self, delay: float, name: str) -> None:
         due = self.clock() + delay
-        await anyio.sleep(delay)
+        await anyio.sleep(max(delay, 0.0))  # the library takes a negative one as an error
         self.lag.seen(self.clock() - due)
         self._tell(self.node.on_timer, name)
 
