Trial: reports of probes in the wait, a node's room by its own part, rank by the worst-served offering

Symptom: 33 to 77% of the invocations are refused at both new sites though the fleet has room: backends / nodes as a node's room takes a front that deals evenly. The ZeroDivisionError: a push whose cost was struck off when others overtook it, completed on a backend readmitted since (Health.ended).

--- a/thornladder/adapter/__main__.py
+++ b/thornladder/adapter/__main__.py
@@ -127,7 +127,8 @@
 
     def _echo(self, node: decide.Node, message: Message) -> None:
         outcome = lookup(wire.OUTCOMES, message, "Reason")
-        node.on_probe_ended(self.now, take(message, "Backend", str), outcome)
+        report = settings.report(message.get("Report"))
+        node.on_probe_ended(self.now, take(message, "Backend", str), outcome, report)
 
     def _head_received(self, node: decide.Node, message: Message) -> None:
         node.on_answer_started(self.now, take(message, "Id", str), take(message, "Try", int, 0))
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -245,8 +245,8 @@
 class Push:
     """One push of an invocation."""
 
-    def __init__(self, backend: Backend, sent: float, cost: float, ahead: float) -> None:
-        self.backend, self.sent, self.cost, self.ahead = backend, sent, cost, ahead
+    def __init__(self, backend: Backend, sent: float, cost: float, ahead: float, idle: bool) -> None:
+        self.backend, self.sent, self.cost, self.ahead, self.idle = backend, sent, cost, ahead, idle
         self.outcome: Outcome | None = None
         self.counted = True  # among what is out, until it ends or its target time has passed
         self.overtaken = 0  # by how many that went to its backend later and came back
@@ -291,6 +291,8 @@
         self.cause = ""  # why it is ejected; empty if it is not
         self.since, self.until, self.strikes, self.trial = 0.0, 0.0, 0, False
         self.cold: deque[tuple[float, float]] = deque()  # pushes while ramping: when, and expected cost
+        self.others, self.told = 0.0, -float("inf")  # what other nodes had out there, as of the last report
+        self.asked: float | None = None  # since when a probe has been out
 
     def silent(self, now: float) -> float:
         """For how long pushes have waited without any sign of life."""
@@ -318,6 +320,7 @@
     CHANCE = 0.001  # that so many breaks in a row befall a sound backend: one false verdict in thousands …
     MOST_SIGNS = 4  # … but no more signs than this, or a dead one is met too often while others die too
     ROW = 3  # pushes turned away one after the other: chance alone seldom makes more at a half
+    TRUST = 0.5  # seconds after which a report counts for 1/e: about as long as what is held takes to change
     FIRST_SENTENCE = 1.0  # seconds until the first trial; doubles up to the last
     LAST_SENTENCE = 4.0
 
@@ -328,6 +331,9 @@
         self.units = defaultdict(lambda: (Fading(30.0), Fading(30.0)))
         self.fine, self.erred, self.broke = (Fading(self.MEMORY) for _ in range(3))  # of all backends
         self.ejected, self.slowest, self.slowest_at = 0, 0.0, 0.0
+        # What all backends hold by reports, and how many of these: lately, and as it usually is.
+        self.held, self.reports = Fading(1.0), Fading(1.0)
+        self.held_long, self.reports_long = Fading(30.0), Fading(30.0)
         self.priors: dict[str, float] = {}  # of the zones, as of the instant and the cost beside it
         self.priors_of: tuple[float, float] | None = None
 
@@ -374,7 +380,7 @@
     def wait(self, backend: Backend, cost: float, now: float) -> float:
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
         view = self.view(backend)
-        wait = self.slowness(backend, cost, now) * (view.work + cost)
+        wait = self.slowness(backend, cost, now) * self.load(view, cost, now)
         if view.open:
             wait = max(wait, view.silent(now))
         if view.erred.sum > 0.01 or view.broke.sum > 0.01:
@@ -384,6 +390,33 @@
             wait += 0.5 * (max(erred - min(self._shares(self, now)[0], self.FEW_ERRORS), 0.0) + broke)
         return wait
 
+    def load(self, view: View, cost: float, now: float) -> float:
+        """Seconds that a push of this cost keeps a backend busy, with what is there and as all usually are.
+
+        What a report says of the other nodes' pushes fades towards what backends usually hold; this node's
+        own are known. Without reports own pushes are all there is.
+        """
+        if not self.reports.sum:
+            return view.work + cost
+        usual = self.usual(now)
+        others = usual
+        if now - view.told < 4.0 * self.TRUST:
+            others += (view.others - usual) * exp((view.told - now) / self.TRUST)
+        return (view.work + (others + 1.0) * cost) / (self.held_long.sum / self.reports_long.sum + 1.0)
+
+    def usual(self, now: float) -> float:
+        """How many pushes a backend holds on the mean, by reports; 0 without."""
+        return self.held.read(now) / self.reports.sum if self.reports.read(now) > 0.01 else 0.0
+
+    def reported(self, backend: Backend, held: float | None, now: float) -> None:
+        if held is None:
+            return
+        view = self.view(backend)
+        view.others, view.told = max(held - len(view.open), 0.0), now
+        for sums, count in ((self.held, self.reports), (self.held_long, self.reports_long)):
+            sums.add(held, now)
+            count.add(1.0, now)
+
     def _shares(self, of: View | Health, now: float) -> tuple[float, float]:
         """Of the ends lately, how many were errors, and how many more broke off than do with all backends.
 
@@ -436,9 +469,10 @@
                     view.work, other.cost = view.work - other.cost, 0.0
             if took > self.longest(now):
                 self.slowest, self.slowest_at = took, now
-            slowness = max(1.0, self.slowness(push.backend, push.cost, now))
+            # Guards against a division by nothing: one whose cost was struck off when others overtook it.
+            slowness = max(1.0, self.slowness(push.backend, push.cost, now)) if push.cost else 1.0
             self._learn(push, took, push.ahead + push.cost, now)
-            if push.ahead < 0.1 * push.cost:
+            if push.cost and push.idle:
                 busy, count = self.units[offering.name]
                 # Guards against a crowd passing for costly work: other nodes' pushes wait there unseen.
                 busy.add(took / slowness, now)
@@ -482,7 +516,7 @@
 
     def probed(self, backend: Backend, outcome: Outcome, now: float) -> str:
         view = self.view(backend)
-        view.trial = False
+        view.trial, view.asked = False, None
         view.refused |= outcome is Outcome.UNREACHABLE
         if view.cause and outcome is not Outcome.COMPLETED:
             self._eject(backend, view, view.cause, now)
@@ -544,22 +578,30 @@
     LONGEST = 5.0  # seconds: the longest look back, well under what a surge lasts
 
     def __init__(
-        self, tenants: list[Tenant], over_share: float, nodes: int, top: float, by_work: bool
-    ) -> None:
+        self, tenants: list[Tenant], over_share: float, nodes: int, offerings: list[Offering], by_work: bool,
+        worst_offering: float,
+    ) -> None:  # fmt: skip
+        self.most = self.MOST_ROOM
         self.rates = {tenant.name: tenant.allowance / nodes for tenant in tenants}
-        self.over_share, self.top, self.by_work = over_share, top, by_work
+        self.over_share, self.by_work, self.worst_offering = over_share, by_work, worst_offering
+        self.utilities = {offering.name: offering.utility for offering in offerings}
+        self.top, self.least = max(self.utilities.values()) or 1.0, min(self.utilities.values())
+        self.shares_of: defaultdict[str, float] = defaultdict(float)
         self.shares: dict[str, tuple[float, float]] = {}  # what each tenant has left, and as of when
         self.best = 0.0  # the most utility for a second of work seen lately
         self.fair = 0.0  # backends to each node
-        self.room = 0.0  # how many pushes this node may have out; under one where nodes outnumber backends
+        self.room = float("inf")  # how many pushes this node may have out; under one where nodes outnumber backends
         self.arrivals, self.span = Fading(self.LONGEST), self.LONGEST
         self.ends, self.lates = Fading(self.span), Fading(self.span)
         self.mean_out = self.out_at = self.cut_at = self.ended_at = 0.0
 
-    def sized(self, fair: float, now: float) -> None:
+    def sized(self, fair: float, held: float, now: float) -> None:
         """Backends to each node; and how far to look back, which a trickle makes longer."""
-        self.fair = fair
-        self.room = self.room or self.FIRST_ROOM * fair
+        if self.fair:
+            self.room *= fair / self.fair
+        elif fair:
+            self.room = max(self.FIRST_ROOM, 1.5 * held) * fair
+        self.fair, self.most = fair, 12.0 if held else self.MOST_ROOM
         self.span = min(self.FEW / max(self.rate(now), 1e-6), self.LONGEST)
         self.ends.span = self.lates.span = max(self.span, 0.5)
 
@@ -585,16 +627,28 @@
 
     def standing(self, offering: Offering, cost: float, part: float = 1.0) -> float:
         """The same for any invocation of an offering that earns `part` of its utility."""
-        worth = offering.utility * part
+        worth = self.earns(offering) * part
         if self.by_work:
             return worth / self.top
         worth /= max(cost, 1e-6)
         self.best = max(self.best * 0.999, worth)
         return worth / self.best if self.best else 0.0
 
+    def earns(self, offering: Offering) -> float:
+        """Its utility; for the least also what the worst-served offering counts for by itself."""
+        if self.worst_offering and offering.utility <= self.least and self.shares_of:
+            came, mean = self.shares_of, 0.0
+            count = sum(came.values())
+            mean = sum(n * self.utilities[name] for name, n in came.items()) / count
+            alone = mean * count / max(came.get(offering.name, 0.0), 1.0)
+            worth = (1.0 - self.worst_offering) * offering.utility + self.worst_offering * alone
+            return min(worth, self.top)
+        return offering.utility
+
     def came(self, live: Live, now: float) -> None:
         """Count an invocation against its tenant's share: this node's part, a second of it saved up."""
         self.arrivals.add(1.0, now)
+        self.shares_of[live.offering.name] += 1.0
         rate = self.rates.get(live.inv.tenant)
         if rate is None or live.inv.again:
             return
@@ -608,7 +662,7 @@
     def refuses(self, live: Live, wait: float, out: int, now: float) -> bool:
         rank = self.rank(live)
         room = self.room * (self.OPEN + (1.0 - self.OPEN) * rank**0.5)
-        if out >= floor(room) and self.level(out, now) >= room:
+        if room < out + 1.0 and self.level(out, now) >= room:
             return True
         limit = self.LOW + (self.HIGH - self.LOW) * rank
         # Its own cost is no sign of crowding: a heavy invocation is not to be turned away for being heavy.
@@ -626,13 +680,15 @@
         """
         self.ends.add(1.0, now)
         self.lates.add(1.0 if late else 0.0, now)
+        if not self.fair:
+            return
         share = self.lates.read(now) / (self.ends.read(now) + 1.0)
         since, self.ended_at = min(now - self.ended_at, 1.0), now
         if share > self.MANY_LATE:
             if now - self.cut_at > self.PAUSE * self.ends.span:
                 self.room, self.cut_at = max(self.room * 0.85, self.LEAST_ROOM * self.fair), now
         elif not late and max(out, self.level(out, now)) >= self.OPEN * self.room:
-            self.room = min(self.room + self.GROWTH * self.fair * since, self.MOST_ROOM * self.fair)
+            self.room = min(self.room + self.GROWTH * self.fair * since, self.most * self.fair)
 
 
 class Core:
@@ -707,11 +763,12 @@
     SWEEP = 0.025  # seconds between looks at what is unanswered: a tenth of the shortest usual target time
     AFAR = 0.3  # of the target time: what another zone must be quicker by, for a crossing has its price
     LAST_MOMENT = 0.005  # seconds; nothing can be answered in less
+    FRESH = 0.05  # seconds: no new report is worth its price before
 
     def __init__(
         self, host: Host, *, seed: int, now: float, zone: str, rank: int, nodes: int,
         offerings: list[Offering], tenants: list[Tenant], over_share_worth: float, utility_by_work: bool,
-        limits: api.Limits, cold: api.ColdRule, must_ask_in: float,
+        limits: api.Limits, cold: api.ColdRule, must_ask_in: float, worst_offering: float = 0.0,
     ) -> None:  # fmt: skip
         self.host, self.zone, self.nodes = host, zone, nodes
         self.limits, self.cold, self.must_ask_in = limits, cold, must_ask_in or float("inf")
@@ -724,10 +781,14 @@
         # own: half of the multiple costs much in a release.
         self.rotation = Rotation(self.chance, 0.75 * cold.multiple)
         self.health = Health(self.chance, host.log)
-        self.admission = Admission(tenants, over_share_worth, nodes, top, utility_by_work)
+        self.admission = Admission(
+            tenants, over_share_worth, nodes, offerings, utility_by_work, worst_offering
+        )
         self.retries = Retries(limits.max_pushes, top)
         self.core = Core(min(offering.target_time for offering in offerings))
         self.live: dict[str, Live] = {}
+        self.asks = 0.0  # probes for reports that may be sent
+        self.outs = Fading(30.0)
         self.out = 0  # pushes that have not ended and are not past their target time
         host.set_timer(self.INTERVAL * self.chance.draw(), "interval")
         self.sweeping, self.watch_wait = False, 0.0
@@ -768,6 +829,7 @@
                 return
         # After admission: an ejected backend's own long wait is no reason to turn an invocation away.
         self._push(live, self._trial(live, now) or backend, now)
+        self._ask_ahead(now)
 
     def on_late(self, now: float, late: float) -> None:
         """How many seconds later than it should the host has just come to something."""
@@ -832,9 +894,14 @@
                 view.work = view.work - push.cost if view.open else 0.0
             self._count_off(push, now)
 
-    def on_probe_ended(self, now: float, backend_id: str, outcome: Outcome) -> None:
+    def on_probe_ended(
+        self, now: float, backend_id: str, outcome: Outcome, report: api.Report = api.NO_REPORT
+    ) -> None:
         backend = self.roster.known.get(backend_id)
         if backend is not None:
+            self.health.reported(backend, report.held, now)
+            if report.held is not None:
+                self.outs.add(self.admission.level(self.out, now), now)
             self._readmitted(backend, self.health.probed(backend, outcome, now), now)
 
     def on_timer(self, now: float, name: str) -> None:
@@ -907,7 +974,9 @@
             self._give_up(live, now)
             return
         view = self.health.view(backend)
-        push = Push(backend, now, live.cost, view.work)
+        ahead = self.health.load(view, live.cost, now) - live.cost
+        idle = view.work < 0.1 * live.cost and (not self.health.reports.sum or view.others < 1.0)
+        push = Push(backend, now, live.cost, ahead, idle)
         number = len(live.pushes)
         if not live.may_have_run:
             live.first = push
@@ -1012,6 +1081,18 @@
                 view.trial = True
                 self.host.probe(seat.backend.id)
 
+    def _ask_ahead(self, now: float) -> None:
+        """Probe those whose turns come next and of which nothing fresh is known, as the price allows."""
+        self.asks = min(self.asks + self.limits.asks, 2.0 * self.limits.asks)
+        for seat in self.rotation.seats if self.asks >= 1.0 else ():
+            view = self.health.view(seat.backend)
+            if view.asked is None and not view.cause and now - view.told > self.FRESH:
+                view.asked = now
+                self.host.probe(seat.backend.id)
+                self.asks -= 1.0
+                if self.asks < 1.0:
+                    break
+
     def _look_again(self, live: Live, now: float) -> None:
         """A push that takes long on a backend gone silent: a second copy, or the same push elsewhere."""
         push = next(push for push in live.pushes if push.outcome is None)
@@ -1023,10 +1104,17 @@
             if backend is not None:
                 self.retries.budget -= 1.0
                 self._push(live, backend, now)
-        elif self.limits.cancelling and live.offering.kind is Kind.REPEATABLE:
+        elif self.limits.cancelling and self._movable(live, now):
             live.moving = True
             self.host.cancel(live.inv.id, live.pushes.index(push))
 
+    def _movable(self, live: Live, now: float) -> bool:
+        """Whether a cancelled push may be followed by one to any other backend."""
+        offering = live.offering
+        if offering.kind is not Kind.TAGGED:
+            return offering.kind is Kind.REPEATABLE
+        return offering.group == "all" and now < live.first.sent + offering.window - 4.0 * self.SWEEP
+
     def _readmitted(self, backend: Backend, cause: str, now: float) -> None:
         if cause:
             view = self.health.view(backend)
@@ -1045,4 +1133,10 @@
                 backend.ramp_start = None
         part = len(backends) / max(len(everyone), 1)
         self.rotation.rebuild(backends, lambda backend: self.ramp.ratio(backend, now), part or 1.0)
-        self.admission.sized(len(everyone) / self.nodes, now)
+        fair, held = len(everyone) / self.nodes, 0.0
+        if self.limits.asks:
+            held = self.health.usual(now)
+            whole = self.health.held_long.sum
+            known = self.health.reports_long.read(now) > 8.0 and whole > 0.0
+            fair = max(self.outs.read(now) / whole, 0.25 * fair) if known else 0.0
+        self.admission.sized(fair, held, now)
--- a/thornladder/interface.py
+++ b/thornladder/interface.py
@@ -85,6 +85,7 @@
     cancelling: bool
     probes: bool
     come_back: float  # the longest come-back time that clients heed; 0 where none may be given
+    asks: float = 0.0  # probes for load reports that an invocation may cost on the mean; 0 where none come
 
 
 @dataclass(frozen=True, slots=True)
@@ -109,6 +110,17 @@
     machine: str
 
 
+class Report(NamedTuple):
+    """What a probe tells of a backend's load; None is what was not told or makes no sense."""
+
+    held: float | None = None  # invocations in its hands, all nodes' together
+    errors: float | None = None  # a second
+    rate: float | None = None  # completed a second
+
+
+NO_REPORT = Report()
+
+
 class Invocation(NamedTuple):
     """What came in from a client."""
 
--- a/thornladder/settings.py
+++ b/thornladder/settings.py
@@ -11,6 +11,13 @@
 
 KINDS = {"free": api.Kind.REPEATABLE, "guarded": api.Kind.TAGGED, "single_shot": api.Kind.ONCE_ONLY}
 
+BLEND = ("Whole", "WorstWindow", "WorstClass", "WorstTenant", "Availability", "Tail")
+# Whether load reports come with probes alone, and are to be asked for.
+REPORT_SOURCES = {"pull": True, "piggyback": False, "silent": False}
+PROBE_SPENDING = 0.01  # of the result: what probes for reports may cost in all, where each has a price
+MOST_REPORTED = 1e6  # of anything that a load report counts: more is no figure of one backend
+MOST_ASKS = 3.0  # probes an invocation, however cheap: beyond a choice among three little is gained
+
 Address = tuple[str, int]
 
 
@@ -37,6 +44,7 @@
             come_back=seconds(limits, "MaxRetryAfter", 0.0)
             if take(limits, "RetryAfter", bool, False)
             else 0.0,
+            asks=_asks(info, limits),
         ),
         "cold": api.ColdRule(
             share=take(rules, "ColdShare", float),
@@ -44,10 +52,42 @@
             multiple=take(rules, "FallMultiple", float),
             span=seconds(rules, "Fall"),
         ),
+        "worst_offering": _worst_offering(take(info, "Blend", dict, {})),
         "must_ask_in": 0.0 if list_is_told(info) else seconds(rules, "MustAskIn", 10.0),
     }
 
 
+def _worst_offering(blend: dict[str, Any]) -> float:
+    """What share of the result goes by the worst-served offering alone."""
+    parts = {name: take(blend, name, float, 0.0) for name in BLEND}
+    negative = next((name for name, value in parts.items() if value < 0.0), None)
+    if negative:
+        raise Malformed(f"Blend.{negative} must not be negative")
+    return parts["WorstClass"] / (sum(parts.values()) or 1.0)
+
+
+def _asks(info: dict[str, Any], limits: dict[str, Any]) -> float:
+    """Probes for load reports that an invocation may cost; none where probes bring no load."""
+    told = take(info, "Report", dict, {})
+    source = lookup(REPORT_SOURCES, told, "Source") if "Source" in told else False
+    price = take(take(info, "Prices", dict, {}), "Probe", float, 0.0)
+    if not source or not take(limits, "Probes", bool, False):
+        return 0.0
+    return min(PROBE_SPENDING / price, MOST_ASKS) if price > 0.0 else MOST_ASKS
+
+
+def report(told: Any) -> api.Report:
+    """A load report, decoded; what is missing, unknown or makes no sense is left out and ends nothing."""
+    if not isinstance(told, dict):
+        return api.NO_REPORT
+    return api.Report(*(_sane(told.get(name)) for name in ("rif", "fail_rate", "rate")))
+
+
+def _sane(value: Any) -> float | None:
+    number = type(value) in (int, float) and 0 <= value < MOST_REPORTED
+    return float(value) if number else None
+
+
 def list_is_told(info: dict[str, Any]) -> bool:
     """Whether changes of the list come unasked, as far as the decisions go."""
     return info.get("Discovery") != "on_request"
