--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -293,6 +293,7 @@
         self.cold: deque[tuple[float, float]] = deque()  # pushes while ramping: when, and expected cost
         self.others, self.told = 0.0, -float("inf")  # what other nodes had out there, as of the last report
         self.asked: float | None = None  # since when a probe has been out
+        self.stay, self.failing = 0.0, False  # how long what it holds stays there; it errs, by its last report
 
     def silent(self, now: float) -> float:
         """For how long pushes have waited without any sign of life."""
@@ -320,6 +321,8 @@
     CHANCE = 0.001  # that so many breaks in a row befall a sound backend: one false verdict in thousands …
     MOST_SIGNS = 4  # … but no more signs than this, or a dead one is met too often while others die too
     ROW = 3  # pushes turned away one after the other: chance alone seldom makes more at a half
+    SILENT_PROBE = 0.1  # seconds: probes come back within a few hundredths, but from what has gone silent
+    STUCK = 2.0  # seconds that what a backend holds stays with it: none is in time any more
     TRUST = 0.5  # seconds after which a report counts for 1/e: about as long as what is held takes to change
     FIRST_SENTENCE = 1.0  # seconds until the first trial; doubles up to the last
     LAST_SENTENCE = 4.0
@@ -334,6 +337,7 @@
         # What all backends hold by reports, and how many of these: lately, and as it usually is.
         self.held, self.reports = Fading(1.0), Fading(1.0)
         self.held_long, self.reports_long = Fading(30.0), Fading(30.0)
+        self.took, self.answers = Fading(30.0), Fading(30.0)
         self.priors: dict[str, float] = {}  # of the zones, as of the instant and the cost beside it
         self.priors_of: tuple[float, float] | None = None
 
@@ -381,6 +385,10 @@
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
         view = self.view(backend)
         wait = self.slowness(backend, cost, now) * self.load(view, cost, now)
+        if now - view.told < self.TRUST:
+            wait = max(wait, 0.5 * view.stay)
+        if view.asked is not None and now - view.asked > self.SILENT_PROBE:
+            wait = max(wait, 5.0 * (now - view.asked))
         if view.open:
             wait = max(wait, view.silent(now))
         if view.erred.sum > 0.01 or view.broke.sum > 0.01:
@@ -404,15 +412,31 @@
             others += (view.others - usual) * exp((view.told - now) / self.TRUST)
         return (view.work + (others + 1.0) * cost) / (self.held_long.sum / self.reports_long.sum + 1.0)
 
+    def stay(self, now: float) -> float:
+        """Seconds that an answer took on the mean."""
+        return self.took.read(now) / max(self.answers.read(now), 1e-9)
+
     def usual(self, now: float) -> float:
         """How many pushes a backend holds on the mean, by reports; 0 without."""
         return self.held.read(now) / self.reports.sum if self.reports.read(now) > 0.01 else 0.0
 
-    def reported(self, backend: Backend, held: float | None, now: float) -> None:
+    def reported(self, backend: Backend, report: api.Report, now: float) -> None:
+        view, held = self.view(backend), report.held
         if held is None:
             return
-        view = self.view(backend)
         view.others, view.told = max(held - len(view.open), 0.0), now
+        # By Little's law; guards against backends that hold what they get and complete nothing.
+        view.stay = held / max(report.rate, 0.1) if report.rate is not None else 0.0
+        rate = (held + 1.0) / self.SILENCE if report.rate is None else report.rate
+        errors = report.errors or 0.0
+        view.failing = errors > 1.0 and errors > self.TOO_MANY_ERRORS * (errors + rate)
+        if view.failing:
+            self._eject(backend, view, "erring", now)
+        elif held >= 4.0 and view.stay > self.STUCK:
+            view.failing = True
+            self._eject(backend, view, "hung", now)
+        if view.cause:
+            return
         for sums, count in ((self.held, self.reports), (self.held_long, self.reports_long)):
             sums.add(held, now)
             count.add(1.0, now)
@@ -459,6 +483,8 @@
         if outcome in (Outcome.COMPLETED, Outcome.ERRED, Outcome.FULL):
             view.answered = now
         if outcome is Outcome.COMPLETED:
+            self.took.add(took, now)
+            self.answers.add(1.0, now)
             view.signs = view.fulls = 0
             view.refused = view.refused and view.cause != ""
             view.fine.add(1.0, now)
@@ -489,10 +515,8 @@
             # Guards against sound backends kept out and ramped for connections that break one by one: only
             # pushes that were out together, or a connection that is not made, speak of the process.
             together = outcome is Outcome.UNREACHABLE or push.sent <= view.sign_at
-            view.signs, view.sign_at = view.signs + 1 if together else 1, now
             view.refused |= outcome is Outcome.UNREACHABLE
-            if view.signs >= self._signs_needed(view, now):
-                self._eject(push.backend, view, "dead", now)
+            self._sign(push.backend, view, together, now)
         elif outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED) and push.overtaken < self.LOST:
             # What was given up on says at least this much about how long the backend takes.
             self._learn(push, took, min(push.ahead + push.cost, took), now)
@@ -516,14 +540,25 @@
 
     def probed(self, backend: Backend, outcome: Outcome, now: float) -> str:
         view = self.view(backend)
-        view.trial, view.asked = False, None
+        asked, view.trial, view.asked = view.asked, False, None
         view.refused |= outcome is Outcome.UNREACHABLE
-        if view.cause and outcome is not Outcome.COMPLETED:
+        if view.cause and (outcome is not Outcome.COMPLETED or view.failing):
             self._eject(backend, view, view.cause, now)
         elif view.cause:
             return self._readmit(backend, view)
+        elif asked is not None and asked > view.answered:
+            if outcome is Outcome.TIMED_OUT:
+                self._eject(backend, view, "hung", now)
+            elif outcome is Outcome.UNREACHABLE:
+                self._sign(backend, view, True, now)
         return ""
 
+    def _sign(self, backend: Backend, view: View, together: bool, now: float) -> None:
+        """Of a dead process: one of those, with no answer in between, that together eject it."""
+        view.signs, view.sign_at = view.signs + 1 if together else 1, now
+        if view.signs >= self._signs_needed(view, now):
+            self._eject(backend, view, "dead", now)
+
     def trial_due(self, backend: Backend, now: float) -> bool:
         view = self.view(backend)
         return view.cause != "" and now >= view.until and not view.trial
@@ -601,7 +636,7 @@
             self.room *= fair / self.fair
         elif fair:
             self.room = max(self.FIRST_ROOM, 1.5 * held) * fair
-        self.fair, self.most = fair, 12.0 if held else self.MOST_ROOM
+        self.fair, self.most = fair, 8.0 if held else self.MOST_ROOM
         self.span = min(self.FEW / max(self.rate(now), 1e-6), self.LONGEST)
         self.ends.span = self.lates.span = max(self.span, 0.5)
 
@@ -788,7 +823,7 @@
         self.core = Core(min(offering.target_time for offering in offerings))
         self.live: dict[str, Live] = {}
         self.asks = 0.0  # probes for reports that may be sent
-        self.outs = Fading(30.0)
+        self.began = now
         self.out = 0  # pushes that have not ended and are not past their target time
         host.set_timer(self.INTERVAL * self.chance.draw(), "interval")
         self.sweeping, self.watch_wait = False, 0.0
@@ -857,7 +892,7 @@
         push.outcome = outcome
         live.open -= 1
         lost = outcome is Outcome.TIMED_OUT and push.overtaken >= Health.LOST
-        if outcome in (Outcome.COMPLETED, Outcome.TIMED_OUT) and not lost:
+        if outcome in (Outcome.COMPLETED, Outcome.TIMED_OUT) and not lost and not self.health.view(push.backend).cause:
             in_time = push.cost + self.admission.LATE * live.offering.target_time
             self.admission.ended(outcome is Outcome.TIMED_OUT or took > in_time, self.out, now)
         self._count_off(push, now)
@@ -899,9 +934,7 @@
     ) -> None:
         backend = self.roster.known.get(backend_id)
         if backend is not None:
-            self.health.reported(backend, report.held, now)
-            if report.held is not None:
-                self.outs.add(self.admission.level(self.out, now), now)
+            self.health.reported(backend, report, now)
             self._readmitted(backend, self.health.probed(backend, outcome, now), now)
 
     def on_timer(self, now: float, name: str) -> None:
@@ -1015,7 +1048,7 @@
 
     def _trial(self, live: Live, now: float) -> Backend | None:
         """An ejected backend whose time is up gets one repeatable invocation, or first a probe."""
-        if not self.health.ejected or live.offering.kind is not Kind.REPEATABLE:
+        if not self.health.ejected or live.offering.kind is not Kind.REPEATABLE or self.limits.asks:
             return None
         due = (seat.backend for seat in self.rotation.seats if self.health.trial_due(seat.backend, now))
         return next((backend for backend in due if self.may_push(live, backend, now)), None)
@@ -1077,7 +1110,7 @@
     def _probe(self, now: float) -> None:
         for seat in self.rotation.seats if self.limits.probes and self.health.ejected else ():
             view = self.health.view(seat.backend)
-            if view.cause in ("dead", "hung") and self.health.trial_due(seat.backend, now):
+            if (view.cause in ("dead", "hung") or self.limits.asks) and self.health.trial_due(seat.backend, now):
                 view.trial = True
                 self.host.probe(seat.backend.id)
 
@@ -1104,6 +1137,11 @@
             if backend is not None:
                 self.retries.budget -= 1.0
                 self._push(live, backend, now)
+        elif self.limits.asks and not view.cause and view.asked is None:
+            view.asked = now
+            self.host.probe(push.backend.id)
+        elif self.limits.asks and not view.cause and now - view.asked < Health.SILENT_PROBE:
+            return
         elif self.limits.cancelling and self._movable(live, now):
             live.moving = True
             self.host.cancel(live.inv.id, live.pushes.index(push))
@@ -1136,7 +1174,8 @@
         fair, held = len(everyone) / self.nodes, 0.0
         if self.limits.asks:
             held = self.health.usual(now)
-            whole = self.health.held_long.sum
-            known = self.health.reports_long.read(now) > 8.0 and whole > 0.0
-            fair = max(self.outs.read(now) / whole, 0.25 * fair) if known else 0.0
+            whole = self.health.held_long.read(now) / max(self.health.reports_long.read(now), 1e-9)
+            known = self.health.reports_long.sum > 8.0 and whole > 0.0
+            rate_now = rate / (1.0 - exp((self.began - now) / Admission.LONGEST)) if now > self.began else 0.0
+            fair = max(rate_now * self.health.stay(now) / whole, 0.25 * fair) if known else 0.0
         self.admission.sized(fair, held, now)
