--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -44,6 +44,20 @@
         self.sum = self.read(now) + amount
 
 
+class Mean:
+    """A fading mean of what was added; 0 while next to nothing was."""
+
+    def __init__(self, span: float) -> None:
+        self.sum, self.count = Fading(span), Fading(span)
+
+    def read(self, now: float) -> float:
+        return self.sum.read(now) / self.count.sum if self.count.read(now) > 0.01 else 0.0
+
+    def add(self, value: float, now: float) -> None:
+        self.sum.add(value, now)
+        self.count.add(1.0, now)
+
+
 class Backend:
     """What the list says of one backend, and since when this node ramps it."""
 
@@ -293,7 +307,7 @@
         self.cold: deque[tuple[float, float]] = deque()  # pushes while ramping: when, and expected cost
         self.others, self.told = 0.0, -float("inf")  # what other nodes had out there, as of the last report
         self.asked: float | None = None  # since when a probe has been out
-        self.stay, self.failing = 0.0, False  # how long what it holds stays there; it errs, by its last report
+        self.stay, self.failing = 0.0, ""  # how long what it holds stays, and what is wrong: by its last report
 
     def silent(self, now: float) -> float:
         """For how long pushes have waited without any sign of life."""
@@ -331,13 +345,11 @@
         self.chance, self.log = chance, log
         self.views: defaultdict[str, View] = defaultdict(View)
         self.zones = defaultdict(lambda: Pace(2.0 * self.MEMORY))
-        self.units = defaultdict(lambda: (Fading(30.0), Fading(30.0)))
+        self.units = defaultdict(lambda: Mean(30.0))
         self.fine, self.erred, self.broke = (Fading(self.MEMORY) for _ in range(3))  # of all backends
         self.ejected, self.slowest, self.slowest_at = 0, 0.0, 0.0
-        # What all backends hold by reports, and how many of these: lately, and as it usually is.
-        self.held, self.reports = Fading(1.0), Fading(1.0)
-        self.held_long, self.reports_long = Fading(30.0), Fading(30.0)
-        self.took, self.answers = Fading(30.0), Fading(30.0)
+        # What a backend holds by reports, lately and as is usual, and how long answers take: of all backends.
+        self.held, self.usual, self.took = Mean(1.0), Mean(30.0), Mean(30.0)
         self.priors: dict[str, float] = {}  # of the zones, as of the instant and the cost beside it
         self.priors_of: tuple[float, float] | None = None
 
@@ -358,14 +370,11 @@
     def view(self, backend: Backend) -> View:
         return self.views[backend.id]
 
-    def cost(self, offering: Offering, hint: float, now: float) -> float:
+    def cost(self, offering: Offering, now: float) -> float:
         """Seconds that an invocation keeps a typical backend busy, learned from pushes that found it idle."""
-        sums = self.units[offering.name]
-        # Until something is learned: an answer in a fifth of the target time, or as long as the hint says.
-        # A ratio of sums: a mean of ratios is ruled by the lightest, whose answers cannot be any quicker.
-        weight = offering.target_time if hint else 1.0
-        guess = weight if hint else offering.target_time / 5.0
-        return (sums[0].read(now) + guess) / (sums[1].read(now) + weight) * (hint or 1.0)
+        mean = self.units[offering.name]
+        # Until something is learned: an answer in a fifth of the target time.
+        return (mean.sum.read(now) + offering.target_time / 5.0) / (mean.count.read(now) + 1.0)
 
     def slowness(self, backend: Backend, cost: float, now: float) -> float:
         """How many times longer than expected a backend's answers have lately taken.
@@ -399,47 +408,33 @@
         return wait
 
     def load(self, view: View, cost: float, now: float) -> float:
-        """Seconds that a push of this cost keeps a backend busy, with what is there and as all usually are.
+        """Seconds of work that a push of this cost meets with itself, against what a backend usually holds.
 
-        What a report says of the other nodes' pushes fades towards what backends usually hold; this node's
+        What a report says of the other nodes' pushes fades towards what all backends lately hold; this node's
         own are known. Without reports own pushes are all there is.
         """
-        if not self.reports.sum:
+        usual, others = self.usual.read(now), self.held.read(now)
+        if not usual:
             return view.work + cost
-        usual = self.usual(now)
-        others = usual
-        if now - view.told < 4.0 * self.TRUST:
-            others += (view.others - usual) * exp((view.told - now) / self.TRUST)
-        return (view.work + (others + 1.0) * cost) / (self.held_long.sum / self.reports_long.sum + 1.0)
-
-    def stay(self, now: float) -> float:
-        """Seconds that an answer took on the mean."""
-        return self.took.read(now) / max(self.answers.read(now), 1e-9)
-
-    def usual(self, now: float) -> float:
-        """How many pushes a backend holds on the mean, by reports; 0 without."""
-        return self.held.read(now) / self.reports.sum if self.reports.read(now) > 0.01 else 0.0
+        others += (view.others - others) * exp((view.told - now) / self.TRUST)
+        return (view.work + (others + 1.0) * cost) / (usual + 1.0)
 
     def reported(self, backend: Backend, report: api.Report, now: float) -> None:
-        view, held = self.view(backend), report.held
+        """Take in a load report. Guards against pushes that it takes to find out what a report tells."""
+        view, held, rate = self.view(backend), report.held, report.rate
         if held is None:
             return
         view.others, view.told = max(held - len(view.open), 0.0), now
-        # By Little's law; guards against backends that hold what they get and complete nothing.
-        view.stay = held / max(report.rate, 0.1) if report.rate is not None else 0.0
-        rate = (held + 1.0) / self.SILENCE if report.rate is None else report.rate
+        view.stay = 0.0 if rate is None else held / max(rate, 0.1)  # by Little's law
         errors = report.errors or 0.0
-        view.failing = errors > 1.0 and errors > self.TOO_MANY_ERRORS * (errors + rate)
+        ends = errors + ((held + 1.0) / self.SILENCE if rate is None else rate)
+        erring = errors > 1.0 and errors > self.TOO_MANY_ERRORS * ends
+        view.failing = "erring" if erring else "hung" if held >= 4.0 and view.stay > self.STUCK else ""
         if view.failing:
-            self._eject(backend, view, "erring", now)
-        elif held >= 4.0 and view.stay > self.STUCK:
-            view.failing = True
-            self._eject(backend, view, "hung", now)
-        if view.cause:
-            return
-        for sums, count in ((self.held, self.reports), (self.held_long, self.reports_long)):
-            sums.add(held, now)
-            count.add(1.0, now)
+            self._eject(backend, view, view.failing, now)
+        if not view.cause:
+            self.held.add(held, now)
+            self.usual.add(held, now)
 
     def _shares(self, of: View | Health, now: float) -> tuple[float, float]:
         """Of the ends lately, how many were errors, and how many more broke off than do with all backends.
@@ -468,7 +463,7 @@
             return True
         return crowded and view.cause not in ("", "dead")
 
-    def ended(self, key: tuple[str, int], push: Push, offering: Offering, hint: float, now: float) -> str:
+    def ended(self, key: tuple[str, int], push: Push, offering: Offering, now: float) -> str:
         """Take in an outcome; returns the cause that the backend was out for if this brings it back."""
         view = self.view(push.backend)
         del view.open[key]
@@ -484,7 +479,6 @@
             view.answered = now
         if outcome is Outcome.COMPLETED:
             self.took.add(took, now)
-            self.answers.add(1.0, now)
             view.signs = view.fulls = 0
             view.refused = view.refused and view.cause != ""
             view.fine.add(1.0, now)
@@ -499,10 +493,8 @@
             slowness = max(1.0, self.slowness(push.backend, push.cost, now)) if push.cost else 1.0
             self._learn(push, took, push.ahead + push.cost, now)
             if push.cost and push.idle:
-                busy, count = self.units[offering.name]
                 # Guards against a crowd passing for costly work: other nodes' pushes wait there unseen.
-                busy.add(took / slowness, now)
-                count.add(hint or 1.0, now)
+                self.units[offering.name].add(took / slowness, now)
             if view.cause == "hung" or trial:
                 return self._readmit(push.backend, view)
         elif outcome is Outcome.FULL:
@@ -614,29 +606,25 @@
 
     def __init__(
         self, tenants: list[Tenant], over_share: float, nodes: int, offerings: list[Offering], by_work: bool,
-        worst_offering: float,
+        worst_offering: float, first: float,
     ) -> None:  # fmt: skip
-        self.most = self.MOST_ROOM
         self.rates = {tenant.name: tenant.allowance / nodes for tenant in tenants}
-        self.over_share, self.by_work, self.worst_offering = over_share, by_work, worst_offering
+        self.first, self.over_share, self.by_work, self.worst_offering = first, over_share, by_work, worst_offering
         self.utilities = {offering.name: offering.utility for offering in offerings}
         self.top, self.least = max(self.utilities.values()) or 1.0, min(self.utilities.values())
-        self.shares_of: defaultdict[str, float] = defaultdict(float)
+        self.came_of: defaultdict[str, float] = defaultdict(float)  # invocations, to each offering
         self.shares: dict[str, tuple[float, float]] = {}  # what each tenant has left, and as of when
         self.best = 0.0  # the most utility for a second of work seen lately
-        self.fair = 0.0  # backends to each node
-        self.room = float("inf")  # how many pushes this node may have out; under one where nodes outnumber backends
+        self.fair = 0.0  # this node's part of the backends; 0 until it is known
+        self.room = float("inf")  # how many pushes this node may have out; may be under one
         self.arrivals, self.span = Fading(self.LONGEST), self.LONGEST
         self.ends, self.lates = Fading(self.span), Fading(self.span)
         self.mean_out = self.out_at = self.cut_at = self.ended_at = 0.0
 
-    def sized(self, fair: float, held: float, now: float) -> None:
-        """Backends to each node; and how far to look back, which a trickle makes longer."""
-        if self.fair:
-            self.room *= fair / self.fair
-        elif fair:
-            self.room = max(self.FIRST_ROOM, 1.5 * held) * fair
-        self.fair, self.most = fair, 8.0 if held else self.MOST_ROOM
+    def sized(self, fair: float, now: float) -> None:
+        """This node's part of the backends; and how far to look back, which a trickle makes longer."""
+        self.room = self.room * fair / self.fair if self.fair else self.first * fair or float("inf")
+        self.fair = fair
         self.span = min(self.FEW / max(self.rate(now), 1e-6), self.LONGEST)
         self.ends.span = self.lates.span = max(self.span, 0.5)
 
@@ -671,19 +659,17 @@
 
     def earns(self, offering: Offering) -> float:
         """Its utility; for the least also what the worst-served offering counts for by itself."""
-        if self.worst_offering and offering.utility <= self.least and self.shares_of:
-            came, mean = self.shares_of, 0.0
-            count = sum(came.values())
-            mean = sum(n * self.utilities[name] for name, n in came.items()) / count
-            alone = mean * count / max(came.get(offering.name, 0.0), 1.0)
-            worth = (1.0 - self.worst_offering) * offering.utility + self.worst_offering * alone
-            return min(worth, self.top)
-        return offering.utility
+        count = sum(self.came_of.values())
+        if offering.utility > self.least or not count:
+            return offering.utility
+        mean = sum(came * self.utilities[name] for name, came in self.came_of.items()) / count
+        alone = mean * count / max(self.came_of[offering.name], 1.0)
+        return min(offering.utility + self.worst_offering * (alone - offering.utility), self.top)
 
     def came(self, live: Live, now: float) -> None:
         """Count an invocation against its tenant's share: this node's part, a second of it saved up."""
         self.arrivals.add(1.0, now)
-        self.shares_of[live.offering.name] += 1.0
+        self.came_of[live.offering.name] += 1.0
         rate = self.rates.get(live.inv.tenant)
         if rate is None or live.inv.again:
             return
@@ -723,7 +709,7 @@
             if now - self.cut_at > self.PAUSE * self.ends.span:
                 self.room, self.cut_at = max(self.room * 0.85, self.LEAST_ROOM * self.fair), now
         elif not late and max(out, self.level(out, now)) >= self.OPEN * self.room:
-            self.room = min(self.room + self.GROWTH * self.fair * since, self.most * self.fair)
+            self.room = min(self.room + self.GROWTH * self.fair * since, self.MOST_ROOM * self.fair)
 
 
 class Core:
@@ -816,8 +802,9 @@
         # own: half of the multiple costs much in a release.
         self.rotation = Rotation(self.chance, 0.75 * cold.multiple)
         self.health = Health(self.chance, host.log)
+        first = Admission.MOST_ROOM if limits.asks else Admission.FIRST_ROOM
         self.admission = Admission(
-            tenants, over_share_worth, nodes, offerings, utility_by_work, worst_offering
+            tenants, over_share_worth, nodes, offerings, utility_by_work, worst_offering, first
         )
         self.retries = Retries(limits.max_pushes, top)
         self.core = Core(min(offering.target_time for offering in offerings))
@@ -852,7 +839,7 @@
             # Guards against a node short of its core that spends it on what can no longer be answered.
             self._give_up(Live(inv, offering, 0.0, now), now)
             return
-        live = Live(inv, offering, self.health.cost(offering, inv.hint, now), now)
+        live = Live(inv, offering, self.health.cost(offering, now), now)
         self.live[inv.id] = live
         self.retries.came()
         self.admission.came(live, now)
@@ -877,7 +864,7 @@
         """
         offering = self.offerings[offering]
         self.core.seen(waited, now)
-        rank = self.admission.standing(offering, self.health.cost(offering, 0.0, now))
+        rank = self.admission.standing(offering, self.health.cost(offering, now))
         if time_left > self.LAST_MOMENT and not self.core.refuses(rank, self.chance):
             return None
         return self._come_back(offering)
@@ -896,7 +883,7 @@
             in_time = push.cost + self.admission.LATE * live.offering.target_time
             self.admission.ended(outcome is Outcome.TIMED_OUT or took > in_time, self.out, now)
         self._count_off(push, now)
-        cause = self.health.ended((id, number), push, live.offering, live.inv.hint, now)
+        cause = self.health.ended((id, number), push, live.offering, now)
         self._readmitted(push.backend, cause, now)
         if last and not live.answered:
             live.answered = True
@@ -1008,7 +995,7 @@
             return
         view = self.health.view(backend)
         ahead = self.health.load(view, live.cost, now) - live.cost
-        idle = view.work < 0.1 * live.cost and (not self.health.reports.sum or view.others < 1.0)
+        idle = view.work < 0.1 * live.cost and view.others < 1.0
         push = Push(backend, now, live.cost, ahead, idle)
         number = len(live.pushes)
         if not live.may_have_run:
@@ -1114,44 +1101,42 @@
                 view.trial = True
                 self.host.probe(seat.backend.id)
 
+    def _ask(self, backend: Backend, now: float) -> None:
+        self.health.view(backend).asked = now
+        self.host.probe(backend.id)
+
     def _ask_ahead(self, now: float) -> None:
         """Probe those whose turns come next and of which nothing fresh is known, as the price allows."""
-        self.asks = min(self.asks + self.limits.asks, 2.0 * self.limits.asks)
+        self.asks = min(self.asks + self.limits.asks, max(2.0 * self.limits.asks, 1.0))
         for seat in self.rotation.seats if self.asks >= 1.0 else ():
             view = self.health.view(seat.backend)
-            if view.asked is None and not view.cause and now - view.told > self.FRESH:
-                view.asked = now
-                self.host.probe(seat.backend.id)
+            if view.asked is None and not view.cause and now - view.told > self.FRESH and self.asks >= 1.0:
                 self.asks -= 1.0
-                if self.asks < 1.0:
-                    break
+                self._ask(seat.backend, now)
 
     def _look_again(self, live: Live, now: float) -> None:
         """A push that takes long on a backend gone silent: a second copy, or the same push elsewhere."""
-        push = next(push for push in live.pushes if push.outcome is None)
-        view = self.health.view(push.backend)
+        number, push = next((n, push) for n, push in enumerate(live.pushes) if push.outcome is None)
+        view, offering = self.health.view(push.backend), live.offering
         if view.answered > push.sent and not view.cause or not self.retries.allows(live):
             return
-        if self.limits.second_copies and live.offering.kind is not Kind.ONCE_ONLY:
+        if self.limits.second_copies and offering.kind is not Kind.ONCE_ONLY:
             backend = None if self.admission.crowded(now) else self._pick(live, now)
             if backend is not None:
                 self.retries.budget -= 1.0
                 self._push(live, backend, now)
-        elif self.limits.asks and not view.cause and view.asked is None:
-            view.asked = now
-            self.host.probe(push.backend.id)
-        elif self.limits.asks and not view.cause and now - view.asked < Health.SILENT_PROBE:
             return
-        elif self.limits.cancelling and self._movable(live, now):
+        if self.limits.asks and not view.cause:
+            # Guards against moves off sound backends, whose work goes on: a probe that stays out tells.
+            if view.asked is None:
+                self._ask(push.backend, now)
+            if now - view.asked < Health.SILENT_PROBE:
+                return
+        until = push.sent if live.first is None else live.first.sent + offering.window - 4.0 * self.SWEEP
+        tagged = offering.kind is Kind.TAGGED and offering.group == "all" and now < until
+        if self.limits.cancelling and (tagged or offering.kind is Kind.REPEATABLE):
             live.moving = True
-            self.host.cancel(live.inv.id, live.pushes.index(push))
-
-    def _movable(self, live: Live, now: float) -> bool:
-        """Whether a cancelled push may be followed by one to any other backend."""
-        offering = live.offering
-        if offering.kind is not Kind.TAGGED:
-            return offering.kind is Kind.REPEATABLE
-        return offering.group == "all" and now < live.first.sent + offering.window - 4.0 * self.SWEEP
+            self.host.cancel(live.inv.id, number)
 
     def _readmitted(self, backend: Backend, cause: str, now: float) -> None:
         if cause:
@@ -1171,11 +1156,18 @@
                 backend.ramp_start = None
         part = len(backends) / max(len(everyone), 1)
         self.rotation.rebuild(backends, lambda backend: self.ramp.ratio(backend, now), part or 1.0)
-        fair, held = len(everyone) / self.nodes, 0.0
-        if self.limits.asks:
-            held = self.health.usual(now)
-            whole = self.health.held_long.read(now) / max(self.health.reports_long.read(now), 1e-9)
-            known = self.health.reports_long.sum > 8.0 and whole > 0.0
-            rate_now = rate / (1.0 - exp((self.began - now) / Admission.LONGEST)) if now > self.began else 0.0
-            fair = max(rate_now * self.health.stay(now) / whole, 0.25 * fair) if known else 0.0
-        self.admission.sized(fair, held, now)
+        self.admission.sized(self._part(rate, now), now)
+
+    def _part(self, rate: float, now: float) -> float:
+        """How many of the backends are this node's: an even part, or one by its traffic where reports come.
+
+        Guards against nodes of busy clients that nack while the fleet has room: traffic is even only behind a
+        front. The parts of all add up to the fleet. By what comes, not by what is let out: that held itself
+        small. 0 until it is known.
+        """
+        even = len(self.roster.usable) / self.nodes
+        usual = self.health.usual.read(now)
+        if not self.limits.asks or not usual or now <= self.began:
+            return 0.0 if self.limits.asks else even
+        seen = 1.0 - exp((self.began - now) / Admission.LONGEST)
+        return max(rate / seen * self.health.took.read(now) / usual, 0.25 * even)
--- a/thornladder/settings.py
+++ b/thornladder/settings.py
@@ -14,7 +14,7 @@
 BLEND = ("Whole", "WorstWindow", "WorstClass", "WorstTenant", "Availability", "Tail")
 # Whether load reports come with probes alone, and are to be asked for.
 REPORT_SOURCES = {"pull": True, "piggyback": False, "silent": False}
-PROBE_SPENDING = 0.006  # of the result: what probes for reports may cost in all, where each has a price
+PROBE_SPENDING = 0.008  # of the result: what probes for reports may cost in all, where each has a price
 MOST_REPORTED = 1e6  # of anything that a load report counts: more is no figure of one backend
 MOST_ASKS = 3.0  # probes an invocation, however cheap: beyond a choice among three little is gained
 
