--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -592,7 +592,7 @@
     LOW = 0.25  # of the target time: an answer expected later than that is refused to the least utility …
     HIGH = 0.6  # … and to the most: beyond it an answer is likely to be late whatever it is for
     OPEN = 0.3  # of the room, to any utility: a flood worth next to nothing leaves room for the least worth
-    LATE = 0.3  # of the target time: later than that, queues already slow backends down (incident if777b3)
+    LATE = 0.2  # of the target time: later than that, queues already slow backends down (incident if777b3)
     MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
     CROWDED = 0.15  # half of that: from here on copies add to the crowd and any zone with room is welcome
     PAUSE = 0.2  # of the span looked back on, between two cuts, so that each cut is seen before the next
