--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -85,8 +85,7 @@
     AGGRESSION = 1.0  # linear: the surest under a capacity known only to rise no slower than evenly
 
     def __init__(self, warm_up: float, cold_share: float) -> None:
-        self.length = max(0.5 * warm_up, 1.0)
-        self.floor = cold_share
+        self.length, self.floor = max(0.5 * warm_up, 1.0), cold_share
 
     def ratio(self, backend: Backend, now: float) -> float:
         if backend.ramp_start is None:
@@ -101,11 +100,9 @@
     GRACE = 5.0  # seconds: late arrivals after a restart come with the first fresh list, after a call or two
 
     def __init__(self, ramp: Ramp, now: float) -> None:
-        self.ramp = ramp
-        self.grace_until = now + self.GRACE
+        self.ramp, self.grace_until, self.baseline = ramp, now + self.GRACE, False
         self.known: dict[str, Backend] = {}
         self.usable: list[Backend] = []  # sorted by id
-        self.baseline = False
 
     def on_list(self, kind: ListKind, entries: list[Entry], now: float) -> None:
         seen = {entry.backend for entry in entries}
@@ -190,19 +187,15 @@
     USUAL = 0.97  # of the weights in use a second ago are still remembered: half a minute, a trouble's length
 
     def __init__(self, chance: Chance, bears: float) -> None:
-        self.chance = chance
-        self.bears = bears  # what part of its capacity a cold backend may be sent
+        self.chance, self.bears = chance, bears  # bears: the part of its capacity a cold backend may be sent
         self.usual = 0.0  # the weights that have lately carried the traffic
         self.surge = 0.0  # how many times its part of them a ramping seat's turns would bring; 1 is bearable
-        self.clock = 0.0  # rounds gone by
-        self.total = 1
+        self.clock, self.total = 0.0, 1  # rounds gone by; of all weights
         self.seats: list[Seat] = []
 
     def rebuild(self, backends: list[Backend], ratio: Callable[[Backend], float], part: float = 1.0) -> None:
-        """Rescale the weights, largest 100; mature seats start anew, ramping ones keep what is unspent.
-
-        A ramping seat that started over at each rebuild would never come to its turn under a trickle.
-        """
+        """Rescale the weights, largest 100; mature seats start anew, ramping ones keep what is unspent: under a
+        trickle one that started over each time would never come to its turn."""
         before = {seat.backend.id: seat for seat in self.seats}
         given = [100.0 if backend.weight is None else max(backend.weight, 0.0) for backend in backends]
         largest = max(given, default=0.0) or 1.0
@@ -213,10 +206,8 @@
             share = ratio(backend)
             weight = max(floor(100.0 * listed / largest * share + 1e-9), 1)
             old = before.get(backend.id)
-            if share < 1.0 and old is not None and old.ramping:
-                wait = max(old.turn - self.clock, 0.0) * old.weight
-            else:
-                wait = self.chance.draw()
+            kept = share < 1.0 and old is not None and old.ramping
+            wait = max(old.turn - self.clock, 0.0) * old.weight if kept else self.chance.draw()
             self.seats.append(Seat(backend, weight, self.clock + wait / weight, share < 1.0))
         self.total = sum(seat.weight for seat in self.seats) or 1
         # Guards against turns that come the faster the fewer others are left: when most of the fleet is lost
@@ -227,14 +218,9 @@
 
     def pick(self, allowed: Judge, wait: Callable[[Backend], float], spare: Judge) -> Backend | None:
         """The next seat in turn, or one of those after it where less is in flight; spends the turn taken.
-
-        A ramping seat takes a push only in its own turn, whoever yields to it; or, if nobody else is allowed,
-        when it may take one out of turn.
-        """
+        A ramping seat takes one only in its own turn, or where nobody else may and it may out of turn."""
         self.clock += 1.0 / self.total
-        choice: Seat | None = None
-        spares: list[Seat] = []
-        best = 0.0
+        choice, best, spares = None, 0.0, []
         self.seats.sort(key=lambda seat: seat.turn)
         for seat in self.seats:
             if not allowed(seat.backend):
@@ -278,11 +264,8 @@
         self.learned = now
 
     def slowness(self, weight: float, prior: float, now: float) -> float:
-        """The ratio, with a prior that weighs this many seconds.
-
-        It goes back to the prior with time. Guards against a standstill: where nothing is pushed nothing is
-        learned, and a crowd long gone would keep everything else away.
-        """
+        """The ratio, with a prior that weighs this many seconds and that it goes back to with time. Guards
+        against a standstill: nothing is learned where nothing is pushed, as in a crowd long gone."""
         if now - self.learned > 5.0 * self.took.span:
             return prior
         ratio = (self.took.read(now) + weight * prior) / (self.expected.read(now) + weight)
@@ -294,11 +277,9 @@
 
     def __init__(self) -> None:
         self.open: dict[tuple[str, int], Push] = {}
-        self.work = 0.0  # expected cost of what is in flight
-        self.answered = 0.0  # when it last gave any sign of life
+        self.work, self.answered = 0.0, 0.0  # expected cost of what is in flight; its last sign of life
         self.pace = Pace(Health.MEMORY)
-        self.fine, self.erred = Fading(Health.MEMORY), Fading(Health.MEMORY)
-        self.broke = Fading(Health.MEMORY)
+        self.fine, self.erred, self.broke = (Fading(Health.MEMORY) for _ in range(3))
         self.refused = False  # a connection was not made since it last completed a push
         self.signs, self.sign_at = 0, 0.0  # of a dead process, since the last completed push; the last one
         self.fulls, self.full_until = 0, 0.0
@@ -306,8 +287,7 @@
         self.since, self.until, self.strikes, self.trial = 0.0, 0.0, 0, False
         self.cold: deque[tuple[float, float]] = deque()  # pushes while ramping: when, and expected cost
         self.others, self.told = 0.0, -float("inf")  # what other nodes had out there, as of the last report
-        self.asked: float | None = None  # since when a probe has been out
-        self.stay, self.failing = 0.0, ""  # how long what it holds stays, and what is wrong: by its last report
+        self.failing, self.asked = "", None  # why its last report has it ejected; since when a probe is out
 
     def silent(self, now: float) -> float:
         """For how long pushes have waited without any sign of life."""
@@ -318,10 +298,9 @@
 class Health:
     """Tells a backend's troubles apart by what comes back from it and what does not.
 
-    dead: connections break or are not made. hung: nothing comes back although several pushes wait. erring: it
-    answers, with errors. These three are ejected. slow, paused and robbed of its machine: answers come, late;
-    full: it turns work away. These only come out longer in `wait`, so that others are picked.
-    """
+    dead: connections break or are not made. hung: nothing comes back from pushes or a probe, or a report shows
+    none completed. erring: it answers, with errors. These are ejected. slow, paused, robbed of its machine,
+    full: these only come out longer in `wait`, so that others are picked."""
 
     MEMORY = 4.0  # seconds: dozens of answers at ten a second, and a trouble is forgotten within ten
     ANSWERS = 3.0  # of a backend, that memory holds at least: one alone may have been a heavy invocation …
@@ -350,8 +329,7 @@
         self.ejected, self.slowest, self.slowest_at = 0, 0.0, 0.0
         # What a backend holds by reports, lately and as is usual, and how long answers take: of all backends.
         self.held, self.usual, self.took = Mean(1.0), Mean(30.0), Mean(30.0)
-        self.priors: dict[str, float] = {}  # of the zones, as of the instant and the cost beside it
-        self.priors_of: tuple[float, float] | None = None
+        self.priors, self.priors_of = {}, None  # of the zones; the instant and the cost that they are as of
 
     def remember(self, backends: list[Backend], rate: float) -> None:
         """Under a trickle what came from a backend is kept longer, or there would be next to nothing."""
@@ -372,20 +350,17 @@
 
     def cost(self, offering: Offering, now: float) -> float:
         """Seconds that an invocation keeps a typical backend busy, learned from pushes that found it idle."""
-        mean = self.units[offering.name]
-        # Until something is learned: an answer in a fifth of the target time.
-        return (mean.sum.read(now) + offering.target_time / 5.0) / (mean.count.read(now) + 1.0)
+        mean, guess = self.units[offering.name], offering.target_time / 5.0  # until something is learned
+        return (mean.sum.read(now) + guess) / (mean.count.read(now) + 1.0)
 
     def slowness(self, backend: Backend, cost: float, now: float) -> float:
         """How many times longer than expected a backend's answers have lately taken.
 
-        Where little has come from it, its whole zone counts: a trickle meets a crowd before each backend.
-        """
+        Where little has come from it, its whole zone counts: a trickle meets a crowd before each backend."""
         if (now, cost) != self.priors_of:
             self.priors_of = now, cost
             self.priors.clear()
-        prior = self.priors.get(backend.zone)
-        if prior is None:
+        if (prior := self.priors.get(backend.zone)) is None:
             prior = max(self.zones[backend.zone].slowness(self.PRIOR * cost, 1.0, now), 1.0)
             self.priors[backend.zone] = prior  # one look a zone for all seats of a pick
         return self.view(backend).pace.slowness(self.PRIOR * cost, prior, now)
@@ -394,25 +369,17 @@
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
         view = self.view(backend)
         wait = self.slowness(backend, cost, now) * self.load(view, cost, now)
-        if now - view.told < self.TRUST:
-            wait = max(wait, 0.5 * view.stay)
-        if view.asked is not None and now - view.asked > self.SILENT_PROBE:
-            wait = max(wait, 5.0 * (now - view.asked))
         if view.open:
             wait = max(wait, view.silent(now))
         if view.erred.sum > 0.01 or view.broke.sum > 0.01:
-            # An erring backend answers fast and would draw the traffic; an error costs a further push. A few
-            # that all make alike are no reason to avoid one of them, nor to nack.
+            # An erring backend answers fast and would draw the traffic. A few that all make alike are none.
             erred, broke = self._shares(view, now)
             wait += 0.5 * (max(erred - min(self._shares(self, now)[0], self.FEW_ERRORS), 0.0) + broke)
         return wait
 
     def load(self, view: View, cost: float, now: float) -> float:
         """Seconds of work that a push of this cost meets with itself, against what a backend usually holds.
-
-        What a report says of the other nodes' pushes fades towards what all backends lately hold; this node's
-        own are known. Without reports own pushes are all there is.
-        """
+        What a report says of others' pushes fades towards what all lately hold; without, own ones are all."""
         usual, others = self.usual.read(now), self.held.read(now)
         if not usual:
             return view.work + cost
@@ -425,11 +392,11 @@
         if held is None:
             return
         view.others, view.told = max(held - len(view.open), 0.0), now
-        view.stay = 0.0 if rate is None else held / max(rate, 0.1)  # by Little's law
         errors = report.errors or 0.0
         ends = errors + ((held + 1.0) / self.SILENCE if rate is None else rate)
         erring = errors > 1.0 and errors > self.TOO_MANY_ERRORS * ends
-        view.failing = "erring" if erring else "hung" if held >= 4.0 and view.stay > self.STUCK else ""
+        stuck = held >= 4.0 and rate is not None and held > self.STUCK * rate  # by Little's law
+        view.failing = "erring" if erring else "hung" if stuck else ""
         if view.failing:
             self._eject(backend, view, view.failing, now)
         if not view.cause:
@@ -438,10 +405,7 @@
 
     def _shares(self, of: View | Health, now: float) -> tuple[float, float]:
         """Of the ends lately, how many were errors, and how many more broke off than do with all backends.
-
-        Guards against nacks, and backends kept out, for connections that break alike everywhere: these are
-        no crowd, as errors may be, and no backend is the worse for them.
-        """
+        Guards against nacks, and backends kept out, for connections that break alike everywhere."""
         ends = of.fine.read(now) + of.erred.read(now) + of.broke.read(now) + 1.0
         alike = self.broke.read(now) / (self.fine.read(now) + self.erred.read(now) + self.broke.sum + 1.0)
         return of.erred.sum / ends, max(of.broke.sum / ends - alike, 0.0)
@@ -459,9 +423,7 @@
 
     def pickable(self, backend: Backend, now: float, crowded: bool = False) -> bool:
         view = self.view(backend)
-        if not view.cause and now >= view.full_until:
-            return True
-        return crowded and view.cause not in ("", "dead")
+        return not view.cause and now >= view.full_until or crowded and view.cause not in ("", "dead")
 
     def ended(self, key: tuple[str, int], push: Push, offering: Offering, now: float) -> str:
         """Take in an outcome; returns the cause that the backend was out for if this brings it back."""
@@ -504,11 +466,13 @@
             held = 0.05 * (2.0 ** min(max(view.fulls - self.ROW, 0), 4) - 1.0)
             view.full_until = now + held * (0.5 + self.chance.draw())
         elif outcome in (Outcome.BROKEN_OFF, Outcome.UNREACHABLE):
-            # Guards against sound backends kept out and ramped for connections that break one by one: only
-            # pushes that were out together, or a connection that is not made, speak of the process.
+            # Guards against sound backends kept out for connections that break one by one: those of pushes out
+            # together, or one that is not made, speak of the process.
             together = outcome is Outcome.UNREACHABLE or push.sent <= view.sign_at
             view.refused |= outcome is Outcome.UNREACHABLE
-            self._sign(push.backend, view, together, now)
+            view.signs, view.sign_at = view.signs + 1 if together else 1, now
+            if view.signs >= self._signs_needed(view, now):
+                self._eject(push.backend, view, "dead", now)
         elif outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED) and push.overtaken < self.LOST:
             # What was given up on says at least this much about how long the backend takes.
             self._learn(push, took, min(push.ahead + push.cost, took), now)
@@ -524,10 +488,8 @@
         """Eject what has gone silent with several pushes, or one very old one, unanswered."""
         for backend in backends:
             view = self.view(backend)
-            if not view.open or view.cause:
-                continue
             usual = max(self.SILENCE, min(1.5 * self.longest(now), 3.0 * self.SILENCE))
-            if view.silent(now) > usual * (1.0 if len(view.open) > 1 else 2.0):
+            if view.open and not view.cause and view.silent(now) > usual * (1.0 if len(view.open) > 1 else 2.0):
                 self._eject(backend, view, "hung", now)
 
     def probed(self, backend: Backend, outcome: Outcome, now: float) -> str:
@@ -538,28 +500,16 @@
             self._eject(backend, view, view.cause, now)
         elif view.cause:
             return self._readmit(backend, view)
-        elif asked is not None and asked > view.answered:
-            if outcome is Outcome.TIMED_OUT:
-                self._eject(backend, view, "hung", now)
-            elif outcome is Outcome.UNREACHABLE:
-                self._sign(backend, view, True, now)
+        elif outcome is Outcome.TIMED_OUT and asked is not None and asked > view.answered:
+            self._eject(backend, view, "hung", now)
         return ""
 
-    def _sign(self, backend: Backend, view: View, together: bool, now: float) -> None:
-        """Of a dead process: one of those, with no answer in between, that together eject it."""
-        view.signs, view.sign_at = view.signs + 1 if together else 1, now
-        if view.signs >= self._signs_needed(view, now):
-            self._eject(backend, view, "dead", now)
-
     def trial_due(self, backend: Backend, now: float) -> bool:
         view = self.view(backend)
         return view.cause != "" and now >= view.until and not view.trial
 
     def crowded_out(self, seats: list[Seat]) -> bool:
-        """Whether so many are ejected that there must be another reason; then all but the dead are used.
-
-        With half of a fleet dead, pushes to what takes no connections would use up every budget.
-        """
+        """Whether so many are ejected that there must be another reason; then all but the dead are used."""
         return self.ejected > 0 and 2 * sum(self.view(s.backend).cause != "" for s in seats) > len(seats)
 
     def _eject(self, backend: Backend, view: View, cause: str, now: float) -> None:
@@ -592,7 +542,8 @@
     LOW = 0.25  # of the target time: an answer expected later than that is refused to the least utility …
     HIGH = 0.6  # … and to the most: beyond it an answer is likely to be late whatever it is for
     OPEN = 0.3  # of the room, to any utility: a flood worth next to nothing leaves room for the least worth
-    LATE = 0.2  # of the target time: later than that, queues already slow backends down (incident if777b3)
+    LATE = 0.3  # of the target time: later than that, queues already slow backends down (incident if777b3)
+    SOON = 0.2  # the same where reports even the queues out: what is late there is late everywhere
     MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
     CROWDED = 0.15  # half of that: from here on copies add to the crowd and any zone with room is welcome
     PAUSE = 0.2  # of the span looked back on, between two cuts, so that each cut is seen before the next
@@ -605,11 +556,11 @@
     LONGEST = 5.0  # seconds: the longest look back, well under what a surge lasts
 
     def __init__(
-        self, tenants: list[Tenant], over_share: float, nodes: int, offerings: list[Offering], by_work: bool,
-        worst_offering: float, first: float,
-    ) -> None:  # fmt: skip
+        self, tenants: list[Tenant], over_share: float, nodes: int, offerings: list[Offering], by_work: bool
+    ) -> None:
         self.rates = {tenant.name: tenant.allowance / nodes for tenant in tenants}
-        self.first, self.over_share, self.by_work, self.worst_offering = first, over_share, by_work, worst_offering
+        self.over_share, self.by_work = over_share, by_work
+        self.worst_offering, self.first, self.late = 0.0, self.FIRST_ROOM, self.LATE
         self.utilities = {offering.name: offering.utility for offering in offerings}
         self.top, self.least = max(self.utilities.values()) or 1.0, min(self.utilities.values())
         self.came_of: defaultdict[str, float] = defaultdict(float)  # invocations, to each offering
@@ -622,7 +573,7 @@
         self.mean_out = self.out_at = self.cut_at = self.ended_at = 0.0
 
     def sized(self, fair: float, now: float) -> None:
-        """This node's part of the backends; and how far to look back, which a trickle makes longer."""
+        """This node's part of the backends, its room with it; a trickle makes it look back further."""
         self.room = self.room * fair / self.fair if self.fair else self.first * fair or float("inf")
         self.fair = fair
         self.span = min(self.FEW / max(self.rate(now), 1e-6), self.LONGEST)
@@ -634,9 +585,7 @@
 
     def level(self, out: int, now: float) -> float:
         """How many pushes were out on the mean of the span; `out` of them since the last call.
-
-        Guards against nacks in a calm fleet: whole pushes say nothing where a node's part is under one.
-        """
+        Guards against nacks in a calm fleet: whole pushes say nothing where a node's part is under one."""
         self.mean_out += (out - self.mean_out) * (1.0 - exp((self.out_at - now) / self.span))
         self.out_at = now
         return self.mean_out
@@ -695,14 +644,10 @@
 
     def ended(self, late: bool, out: int, now: float) -> None:
         """Learn from a push's end how many pushes this node may have out: more while answers are in time.
-
         Guards against the jam in which clients leave before their answers and backends work for nobody: its
-        queue belongs to all nodes and shows to each by late answers alone. `out` counts the push that ends.
-        """
+        queue belongs to all nodes and shows to each by late answers alone. `out` counts the one that ends."""
         self.ends.add(1.0, now)
         self.lates.add(1.0 if late else 0.0, now)
-        if not self.fair:
-            return
         share = self.lates.read(now) / (self.ends.read(now) + 1.0)
         since, self.ended_at = min(now - self.ended_at, 1.0), now
         if share > self.MANY_LATE:
@@ -715,10 +660,8 @@
 class Core:
     """What part of the invocations to turn away unread, so that a node short of its core answers in time.
 
-    Guards against a node that reads all that comes, each too late: its clients leave and come anew, which
-    costs it more than answers would have. Acts only where its host tells of lateness; an integral control,
-    since how much fits the core is not known beforehand.
-    """
+    Guards against a node that reads all that comes, each too late: its clients leave and come anew. Acts only
+    where its host tells of lateness; an integral control, since what fits the core is not known beforehand."""
 
     AIM = 0.25  # of the shortest target time may pass before what came is read: enough to see, little to lose
     RISE = 2.0  # a second, at twice the aim and more: a surge is met within a few tenths of a second
@@ -798,23 +741,20 @@
         self.chance = Chance(seed)
         self.ramp = Ramp(cold.warm_up, cold.share)
         self.roster, self.part = Roster(self.ramp, now), Part(rank)
-        # The ramp runs at up to twice the surest capacity, a fleet that carries its load at two thirds of its
-        # own: half of the multiple costs much in a release.
-        self.rotation = Rotation(self.chance, 0.75 * cold.multiple)
+        self.rotation = Rotation(self.chance, 0.75 * cold.multiple)  # a half costs much in a release
         self.health = Health(self.chance, host.log)
-        first = Admission.MOST_ROOM if limits.asks else Admission.FIRST_ROOM
-        self.admission = Admission(
-            tenants, over_share_worth, nodes, offerings, utility_by_work, worst_offering, first
-        )
+        self.admission = Admission(tenants, over_share_worth, nodes, offerings, utility_by_work)
+        self.admission.worst_offering = worst_offering
+        if limits.asks:
+            self.admission.first, self.admission.late = Admission.MOST_ROOM, Admission.SOON
         self.retries = Retries(limits.max_pushes, top)
         self.core = Core(min(offering.target_time for offering in offerings))
         self.live: dict[str, Live] = {}
-        self.asks = 0.0  # probes for reports that may be sent
-        self.began = now
+        self.asks, self.began = 0.0, now  # asks: probes for reports that may be sent
         self.out = 0  # pushes that have not ended and are not past their target time
         host.set_timer(self.INTERVAL * self.chance.draw(), "interval")
-        self.sweeping, self.watch_wait = False, 0.0
-        self.blind_at = float("inf")  # from then on this node is deemed told of what it has not heard
+        # blind_at: from then on this node is deemed told of what it has not heard.
+        self.sweeping, self.watch_wait, self.blind_at = False, 0.0, float("inf")
         if must_ask_in:
             self._watch(now)
 
@@ -854,20 +794,16 @@
         self._ask_ahead(now)
 
     def on_late(self, now: float, late: float) -> None:
-        """How many seconds later than it should the host has just come to something."""
+        """The host came to something so many seconds too late."""
         self.core.seen(late, now)
 
     def turns_away(self, now: float, offering: str, time_left: float, waited: float) -> float | None:
-        """When to come back, for what lay unread and is not to be read either; None: it is to be taken.
-
-        It has never been pushed, so a nack is true whatever its offering.
-        """
+        """When to come back, for what lay unread, never pushed, and is not to be read; None: it is taken."""
         offering = self.offerings[offering]
         self.core.seen(waited, now)
         rank = self.admission.standing(offering, self.health.cost(offering, now))
-        if time_left > self.LAST_MOMENT and not self.core.refuses(rank, self.chance):
-            return None
-        return self._come_back(offering)
+        taken = time_left > self.LAST_MOMENT and not self.core.refuses(rank, self.chance)
+        return None if taken else self._come_back(offering)
 
     def on_push_ended(
         self, now: float, id: str, number: int, outcome: Outcome, took: float, last: bool
@@ -878,10 +814,11 @@
         push = live.pushes[number]
         push.outcome = outcome
         live.open -= 1
-        lost = outcome is Outcome.TIMED_OUT and push.overtaken >= Health.LOST
-        if outcome in (Outcome.COMPLETED, Outcome.TIMED_OUT) and not lost and not self.health.view(push.backend).cause:
-            in_time = push.cost + self.admission.LATE * live.offering.target_time
-            self.admission.ended(outcome is Outcome.TIMED_OUT or took > in_time, self.out, now)
+        timed_out = outcome is Outcome.TIMED_OUT
+        skip = timed_out and push.overtaken >= Health.LOST or self.health.view(push.backend).cause
+        if (outcome is Outcome.COMPLETED or timed_out) and not skip:
+            in_time = push.cost + self.admission.late * live.offering.target_time
+            self.admission.ended(timed_out or took > in_time, self.out, now)
         self._count_off(push, now)
         cause = self.health.ended((id, number), push, live.offering, now)
         self._readmitted(push.backend, cause, now)
@@ -905,10 +842,7 @@
             self._forget(live)
 
     def on_lost(self, now: float, id: str) -> None:
-        """Strike an invocation off the books: its host has ended it, since telling of it met an error.
-
-        Guards against pushes that count as out for ever and make a sound backend look hung.
-        """
+        """Strike off what its host has ended. Guards against pushes out for ever that look like a hang."""
         live = self.live.pop(id, None)
         for number, push in enumerate(live.pushes if live else ()):
             view = self.health.view(push.backend)
@@ -916,10 +850,8 @@
                 view.work = view.work - push.cost if view.open else 0.0
             self._count_off(push, now)
 
-    def on_probe_ended(
-        self, now: float, backend_id: str, outcome: Outcome, report: api.Report = api.NO_REPORT
-    ) -> None:
-        backend = self.roster.known.get(backend_id)
+    def on_probe_ended(self, now: float, id: str, outcome: Outcome, report: api.Report) -> None:
+        backend = self.roster.known.get(id)
         if backend is not None:
             self.health.reported(backend, report, now)
             self._readmitted(backend, self.health.probed(backend, outcome, now), now)
@@ -974,14 +906,10 @@
         return not sent or spent <= self._cold_rate(backend, now) * self.cold.span
 
     def _out_of_turn(self, backend: Backend, cost: float, now: float) -> bool:
-        """Guards against hundreds of first pushes at once to a cold backend when the mature ones are lost.
-
-        Where a node's part is under one push, it takes its chance so often that all keep to it together.
-        """
-        part = self._cold_rate(backend, now)
-        if part * self.cold.span >= cost:
-            return True
-        return self.chance.draw() * cost * max(self.admission.rate(now), 1.0 / self.cold.span) < part
+        """Guards against hundreds of first pushes at once to a cold backend when the mature ones are lost: a
+        node whose part is under one push takes its chance so often that all keep to it together."""
+        part, often = self._cold_rate(backend, now), max(self.admission.rate(now), 1.0 / self.cold.span)
+        return part * self.cold.span >= cost or self.chance.draw() * cost * often < part
 
     # What a node does.
 
@@ -997,7 +925,6 @@
         ahead = self.health.load(view, live.cost, now) - live.cost
         idle = view.work < 0.1 * live.cost and view.others < 1.0
         push = Push(backend, now, live.cost, ahead, idle)
-        number = len(live.pushes)
         if not live.may_have_run:
             live.first = push
         live.pushes.append(push)
@@ -1007,7 +934,7 @@
         live.moving = False
         # Twice what it should take and a tenth of a second: by then most answers are in.
         live.look_at = now + 2.0 * self.health.wait(backend, live.cost, now) + 0.1
-        view.open[live.inv.id, number] = push
+        view.open[live.inv.id, len(live.pushes) - 1] = push
         view.work += push.cost
         if backend.ramp_start is not None:
             view.cold.append((now, live.cost))
@@ -1043,8 +970,7 @@
     def _push_again(self, live: Live, now: float) -> None:
         """Nothing is out any more and there is no answer: push on if that is allowed, or give up at once."""
         backend = self._pick(live, now) if self.retries.allows(live) else None
-        if backend is not None:
-            self.retries.budget -= 1.0
+        self.retries.budget -= backend is not None
         self._push(live, backend, now)
 
     def _give_up(self, live: Live, now: float) -> None:
@@ -1097,7 +1023,8 @@
     def _probe(self, now: float) -> None:
         for seat in self.rotation.seats if self.limits.probes and self.health.ejected else ():
             view = self.health.view(seat.backend)
-            if (view.cause in ("dead", "hung") or self.limits.asks) and self.health.trial_due(seat.backend, now):
+            probed = view.cause in ("dead", "hung") or self.limits.asks
+            if probed and self.health.trial_due(seat.backend, now):
                 view.trial = True
                 self.host.probe(seat.backend.id)
 
@@ -1132,7 +1059,7 @@
                 self._ask(push.backend, now)
             if now - view.asked < Health.SILENT_PROBE:
                 return
-        until = push.sent if live.first is None else live.first.sent + offering.window - 4.0 * self.SWEEP
+        until = live.first.sent + offering.window - 4.0 * self.SWEEP
         tagged = offering.kind is Kind.TAGGED and offering.group == "all" and now < until
         if self.limits.cancelling and (tagged or offering.kind is Kind.REPEATABLE):
             live.moving = True
@@ -1141,8 +1068,7 @@
     def _readmitted(self, backend: Backend, cause: str, now: float) -> None:
         if cause:
             view = self.health.view(backend)
-            # Guards against sound backends ramped from the floor for connections that broke one by one: a
-            # process that started anew took none for a while.
+            # Guards against sound backends ramped for broken connections: a new process took none for a while.
             self.roster.back(backend, view.since, cause == "dead" and view.refused, now)
             view.refused = False
             self._rebuild(now)
@@ -1161,13 +1087,13 @@
     def _part(self, rate: float, now: float) -> float:
         """How many of the backends are this node's: an even part, or one by its traffic where reports come.
 
-        Guards against nodes of busy clients that nack while the fleet has room: traffic is even only behind a
-        front. The parts of all add up to the fleet. By what comes, not by what is let out: that held itself
-        small. 0 until it is known.
-        """
+        Guards against nodes of busy clients that nack while the fleet has room: only a front deals evenly. By
+        what comes, since a part by what is let out holds itself small; all parts add up. 0: not known yet."""
         even = len(self.roster.usable) / self.nodes
         usual = self.health.usual.read(now)
-        if not self.limits.asks or not usual or now <= self.began:
-            return 0.0 if self.limits.asks else even
+        if not self.limits.asks:
+            return even
+        if not usual or now <= self.began:
+            return 0.0
         seen = 1.0 - exp((self.began - now) / Admission.LONGEST)
         return max(rate / seen * self.health.took.read(now) / usual, 0.25 * even)
