--- /dev/null
+++ b/tests/test_move.py
@@ -0,0 +1,298 @@
+"""A node for each client, and load that only probes tell: what the move to such deployments needs."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from copy import deepcopy
+
+import pytest
+from harness import SETTINGS, Bank, Bench, Got, config, entry, reply, until
+
+from thornladder import decide, messages, settings
+from thornladder.fields import Malformed
+from thornladder.interface import NO_REPORT, ListKind, Outcome, Report, State
+
+OWN_NODE = {
+    **SETTINGS,
+    "Report": {"Source": "pull", "Fields": ["rif", "fail_rate"]},
+    "Prices": {"Probe": 0.004},
+    "Blend": {"Whole": 0.7, "WorstClass": 0.3, "Tail": 0.3, "BorneMisses": 0.02},
+}
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict]:
+    return "asyncio", {"use_uvloop": True}  # as the program does
+
+
+def told(bench: Bench, held: float = 4.0, **more: float) -> None:
+    """Every probe that is out is answered."""
+    while bench.probes:
+        bench.probed(bench.probes.pop(0), Outcome.COMPLETED, Report(held, **more))
+
+
+def settings_with(part: str, name: str, value: object) -> dict:
+    info = deepcopy(OWN_NODE)
+    info.setdefault(part, {})[name] = value
+    return info
+
+
+def test_a_busy_client_s_node_is_not_held_to_an_even_part() -> None:
+    """Guards against nacks while the fleet has room: 50 nodes, 40 backends, most traffic is here."""
+    finals = {}
+    for asks in (0.0, 3.0):
+        bench = Bench(nodes=50, asks=asks)
+        bench.list([entry(n) for n in range(40)])
+        for step in range(600):
+            bench.come(f"i{step}", tenant="")
+            told(bench, 0.5)
+            bench.advance(0.005)
+            for id, number in bench.open():
+                if bench.now - bench.accounts[id].pushes[number][1] >= 0.05:
+                    bench.end(id, number, Outcome.COMPLETED)
+        finals[asks] = sum(account.final == "nacked" for account in bench.accounts.values())
+    assert finals[0.0] > 100 and finals[3.0] == 0, finals
+
+
+def test_probes_are_few_and_go_to_those_whose_turn_comes() -> None:
+    bench = Bench(asks=0.5)
+    bench.list([entry(n) for n in range(20)])
+    asked = 0
+    for step in range(200):
+        bench.come(f"i{step}")
+        asked += len(bench.probes)
+        assert len(set(bench.probes)) == len(bench.probes), "one probe out to a backend at a time"
+        told(bench)
+        bench.complete_all(0.02)
+    assert 90 <= asked <= 101, "half a probe an invocation"
+    bench = Bench(asks=0.0)
+    bench.list([entry(n) for n in range(20)])
+    for step in range(50):
+        bench.come(f"i{step}")
+        bench.complete_all(0.02)
+    assert not bench.probes, "where probes bring no load none is sent for it"
+
+
+def test_a_report_of_many_held_makes_the_pick_yield_until_it_is_old() -> None:
+    bench = Bench(asks=1.0, copies=False)
+    bench.list([entry(0), entry(2)])
+    for step in range(40):
+        bench.come(f"w{step}")
+        told(bench)
+        bench.complete_all(0.02)
+    met = []
+    for step in range(40):
+        bench.probed("b00", Outcome.COMPLETED, Report(20.0))
+        bench.probed("b02", Outcome.COMPLETED, Report(1.0))
+        met.append(bench.come(f"x{step}").pushes[0][0])
+        bench.probes.clear()
+        bench.complete_all(0.02)
+    assert met.count("b02") == 40
+    bench.advance(4.0)
+    later = []
+    for step in range(20):
+        later.append(bench.come(f"y{step}").pushes[0][0])
+        bench.complete_all(0.02)
+        bench.advance(0.3)
+    assert "b00" in later, "an old report keeps nobody away"
+
+
+def test_missing_and_odd_values_change_nothing() -> None:
+    benches = [Bench(5, asks=0.0), Bench(5, asks=0.0)]
+    for odd, bench in enumerate(benches):
+        bench.list([entry(n) for n in range(6)])
+        for step in range(60):
+            if odd:
+                bench.probed("b01", Outcome.COMPLETED, NO_REPORT)
+                bench.probed("nobody", Outcome.COMPLETED, Report(9.0))
+            bench.come(f"i{step}")
+            bench.complete_all(0.02)
+    first, second = ([account.pushes for account in bench.accounts.values()] for bench in benches)
+    assert first == second
+    for value in (-1, 1e99, float("nan"), float("inf"), "4", None, True, [], {}):
+        assert settings.report({"rif": value, "odd": 1, "fail_rate": value, "rate": value}) == NO_REPORT
+    assert settings.report({"rif": 3, "q": "x"}) == Report(3.0)
+    for body in (b"", b"x", b"[]", b"{" * 5000, b'{"rif":', b'{"rif":"4"}', b"\xff\xfe"):
+        assert messages.decode_report(body) == NO_REPORT
+
+
+def test_a_backend_that_holds_and_completes_nothing_is_out_though_probes_reach_it() -> None:
+    """Guards against a hang that a shallow probe does not see: each answer to one brought it back."""
+    bench = Bench(asks=1.0)
+    bench.list([entry(n) for n in range(6)])
+    bench.probed("b01", Outcome.COMPLETED, Report(12.0, 0.0, 0.0))
+    assert bench.node.health.views["b01"].cause == "hung"
+    bench.advance(3.0)
+    bench.probed("b01", Outcome.COMPLETED, Report(14.0, 0.0, 0.0))
+    assert bench.node.health.views["b01"].cause == "hung"
+    bench.probed("b01", Outcome.COMPLETED, Report(2.0, 0.0, 20.0))
+    assert not bench.node.health.views["b01"].cause
+
+
+def test_a_backend_whose_report_counts_errors_is_out_until_it_counts_none() -> None:
+    bench = Bench(asks=1.0)
+    bench.list([entry(n) for n in range(6)])
+    bench.probed("b01", Outcome.COMPLETED, Report(1.0, 9.0))
+    bench.probed("b02", Outcome.COMPLETED, Report(6.0, 0.2))
+    assert bench.node.health.views["b01"].cause == "erring" and not bench.node.health.views["b02"].cause
+    bench.probed("b01", Outcome.COMPLETED, Report(1.0, 0.0))
+    assert not bench.node.health.views["b01"].cause
+
+
+def test_a_tagged_push_moves_off_a_silent_backend_within_its_window_only() -> None:
+    """Guards against a tagged invocation left on a silent backend, and against one moved off a slow one."""
+    for silent, group, moves in ((True, "mark", 1), (False, "mark", 0), (True, "book", 0)):
+        bench = Bench(asks=1.0, copies=False)
+        bench.list([entry(n) for n in range(8)])
+        for step in range(30):
+            bench.come(f"w{step}")
+            told(bench)
+            bench.complete_all(0.01)
+        cancelled = []
+        bench.cancel = lambda id, number, cancelled=cancelled: cancelled.append((id, number))
+        account = bench.come("a", group)
+        first = account.pushes[0][0]
+        for _ in range(14):
+            bench.advance(0.025)
+            bench.probes[:] = [backend for backend in bench.probes if backend == first and silent]
+            if not silent:
+                bench.probed(first, Outcome.COMPLETED, Report(4.0))
+            for id, number in cancelled:
+                if number not in bench.accounts[id].ended:
+                    bench.end(id, number, Outcome.CANCELLED)
+        assert len(account.pushes) == 1 + moves, (silent, group)
+        if moves:
+            (_, sent), (backend, again) = account.pushes
+            assert backend != first and again < sent + 0.4
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_what_is_lost_is_answered_at_once_and_nacks_say_when_to_come_back(seed: int) -> None:
+    """Guards against a lost invocation held until its time is almost up, so that its client stays quiet."""
+    rng = random.Random(seed)
+    bench = Bench(seed, copies=False, asks=1.0)
+    bench.list([entry(n) for n in range(5)])
+    come_back = []
+    nack = bench.nack
+    bench.nack = lambda id, after: (come_back.append(after), nack(id, after))
+    for step in range(200):
+        account = bench.come(f"i{step}", rng.choice(["look", "pay", "book", "mark"]))
+        told(bench, rng.choice([1.0, 5.0]))
+        bench.advance(rng.choice([0.01, 0.05]))
+        while not account.final and len(account.ended) < len(account.pushes):
+            bench.end(f"i{step}", len(account.ended), rng.choice([Outcome.ERRED, Outcome.BROKEN_OFF]))
+        assert account.final, "given up and not answered at once"
+    assert come_back and all(0.0 < after <= 0.5 for after in come_back)
+
+
+def test_connections_that_are_not_made_use_up_no_budget() -> None:
+    """Guards against nacks while most backends can be reached (incident i1f0c8a): it made no work."""
+    bench, unmade = Bench(copies=False), set()
+    bench.list([entry(n) for n in range(20)])
+    for step in range(300):
+        account = bench.come(f"i{step}", "look", tenant="")
+        bench.advance(0.01)
+        while not account.final:
+            backend = account.pushes[-1][0]
+            fails = not account.ended and backend not in unmade  # never twice in a row at one backend
+            (unmade.add if fails else unmade.discard)(backend)
+            bench.end(f"i{step}", len(account.ended), Outcome.UNREACHABLE if fails else Outcome.COMPLETED)
+    assert sum(len(account.pushes) - 1 for account in bench.accounts.values()) > 100
+    assert all(account.final == "completed" for account in bench.accounts.values())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_rules_hold_in_random_runs_with_reports(seed: int) -> None:
+    rng = random.Random(seed)
+    bench = Bench(seed, copies=seed % 2 == 0, nodes=30, asks=3.0, worst_offering=0.3)
+    bench.list([entry(n) for n in range(8)], ListKind.RESTORED)
+    odd = (NO_REPORT, Report(0.0), Report(40.0, 5.0, 0.0), Report(3.0, None, 9.0), Report(1e5, 1e5, 1e5))
+    for step in range(500):
+        bench.come(f"i{step}", rng.choice(["look", "pay", "book", "note", "mark"]))
+        for _ in range(min(len(bench.probes), rng.randrange(3))):
+            bench.probed(bench.probes.pop(), rng.choice(list(Outcome)), rng.choice(odd))
+        for id, number in bench.open():
+            if rng.random() < 0.3:
+                bench.end(id, number, rng.choice(list(Outcome)))
+        if rng.random() < 0.1:
+            state = rng.choice([State.RUNNING, State.DRAINING])
+            bench.list([entry(rng.randrange(8), state, rng.choice([None, bench.now - 1]))], ListKind.CHANGES)
+        bench.advance(rng.choice([0.0, 0.01, 0.1]))
+    while bench.open():
+        bench.end(*bench.open()[0], Outcome.CANCELLED)
+    assert all(account.final for account in bench.accounts.values()) and not bench.node.live
+
+
+def test_the_worst_served_offering_weighs_by_the_settings() -> None:
+    def rank(worst: float) -> float:
+        bench = Bench(worst_offering=worst)
+        for step in range(100):
+            bench.come(f"i{step}", "pay" if step % 4 else "look")
+        return bench.node.admission.standing(bench.node.offerings["look"], 0.05)
+
+    assert rank(0.0) == 1.0 / 8.0
+    assert rank(0.1) == pytest.approx((0.9 + 0.1 * 6.25 / 0.25) / 8.0) and rank(0.5) == 1.0
+
+
+@pytest.mark.parametrize(
+    ("info", "key"),
+    [({**OWN_NODE, "Tenants": [{"Name": "t", "Share": 1.0}]}, "Tenants"),
+     (settings_with("PolicyLimits", "Probes", False), "PolicyLimits.Probes"),
+     (settings_with("Report", "Fields", ["fail_rate"]), "Report.Fields"),
+     (settings_with("Report", "Source", "silent"), "Blend.Tail"),
+     ({**SETTINGS, "PolicyLimits": {**SETTINGS["PolicyLimits"], "Peers": True}}, "PolicyLimits.Peers"),
+     ({**SETTINGS, "Blend": {"Availability": 0.3, "NinesWanted": 2.0}}, "Blend.Availability"),
+     (settings_with("Blend", "BorneMisses", 0.0), "Blend.BorneMisses"),
+     (settings_with("Blend", "Availability", 0.3), "Blend.NinesWanted"),
+     (settings_with("Blend", "Whole", -1.0), "Blend.Whole"),
+     (settings_with("Blend", "Whole", "much"), "Whole"),
+     (settings_with("Report", "Source", "smoke"), "Source"),
+     (settings_with("Prices", "Probe", -0.1), "Prices.Probe")],
+)  # fmt: skip
+def test_settings_that_mix_shapes_or_make_no_sense_are_refused(info: dict, key: str) -> None:
+    with pytest.raises(Malformed, match=rf"^{key}\b"):
+        settings.decode({**config([], 1), "settings": info})
+
+
+def test_each_shape_alone_is_taken_and_probes_are_paced_by_their_price() -> None:
+    def asks(info: dict) -> float:
+        return settings.decode({**config([], 1), "settings": info}).decisions["limits"].asks
+
+    assert asks(SETTINGS) == 0.0
+    assert asks({**SETTINGS, "Report": {"Fields": [], "Source": "silent"}, "Tenants": []}) == 0.0
+    assert asks(OWN_NODE) == settings.PROBE_SPENDING / 0.004
+    assert asks({**OWN_NODE, "Prices": {}}) == settings.MOST_ASKS
+
+
+@pytest.mark.anyio
+async def test_a_load_probe_on_sockets_reaches_the_module(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Malformed reports among them, which change nothing and end nothing."""
+    heard: dict[str, Report] = {}
+    tell = decide.Node.on_probe_ended
+
+    def hear(node: decide.Node, now: float, id: str, outcome: Outcome, report: Report) -> None:
+        heard[id] = report
+        tell(node, now, id, outcome, report)
+
+    monkeypatch.setattr(decide.Node, "on_probe_ended", hear)
+    bodies = [b'{"rif":7,"fail_rate":0.5}', b"nonsense", b'{"rif":-3}', b"x" * 9000]
+
+    def answer(number: int) -> Callable[[Got], bytes]:
+        return lambda got: reply(200, bodies[number]) if got.target == "/stats" else reply(200)
+
+    async with Bank(*(answer(number) for number in range(4)), info=OWN_NODE) as bank:
+        for number in range(40):
+            assert (await bank.ask(f"a{number}", "look")).target == "200"
+        await until(lambda: len(heard) == 4)
+        assert not any(got.target == "/health/live" for each in bank.backends for got in each.got)
+    assert heard.pop("s0") == Report(7.0, 0.5)
+    assert set(heard.values()) == {NO_REPORT}
+
+
+@pytest.mark.anyio
+async def test_without_reports_nothing_is_asked_for() -> None:
+    async with Bank(lambda got: reply(200)) as bank:
+        for number in range(20):
+            assert (await bank.ask(f"a{number}", "look")).target == "200"
+        assert {got.target for got in bank.backends[0].got} == {"/look"}
--- a/thornladder/adapter/wire.py
+++ b/thornladder/adapter/wire.py
@@ -24,7 +24,7 @@
     "restored": api.ListKind.RESTORED,
     "unavailable": api.ListKind.UNAVAILABLE,
 }
-HINT, AGAIN = 1, 2
+AGAIN = 2  # of the flags
 
 
 def micros(span: float) -> int:
@@ -59,7 +59,6 @@
         offering=take(message, "Qos", str),
         tenant=tenant,
         time_left=seconds(message, "Grace"),
-        hint=seconds(message, "Expected", 0.0) if flags & HINT else 0.0,
         key=optional(message, "Resource", int),
         again=bool(flags & AGAIN),
     )
--- a/thornladder/backends/pushes.py
+++ b/thornladder/backends/pushes.py
@@ -11,7 +11,7 @@
 from thornladder.backends.pool import Pool
 from thornladder.exchange import Exchange
 from thornladder.http1 import Cause, Failure, Line, Stage
-from thornladder.interface import ListKind, Outcome, State
+from thornladder.interface import NO_REPORT, ListKind, Outcome, Report, State
 from thornladder.messages import Answer, Ending, ListAnswer, Message, Reply
 from thornladder.settings import Address
 from thornladder.streams import Held
@@ -25,7 +25,7 @@
         self, exchange: Exchange, number: int, outcome: Outcome, sent: float, answer: Answer | None
     ) -> None: ...
 
-    def probe_ended(self, backend: str, outcome: Outcome) -> None: ...
+    def probe_ended(self, backend: str, outcome: Outcome, report: Report) -> None: ...
 
 
 def outcome_of(result: Reply | Failure) -> Outcome:
@@ -62,9 +62,12 @@
         told: Told,
         clock: Callable[[], float],
         log: Any,
+        reports: bool = False,
     ) -> None:
+        """`reports`: whether a probe also asks for the backend's load."""
         self.pool, self.grace, self.held, self.tasks = pool, drain_grace, held, tasks
         self.told, self.clock, self.log = told, clock, log
+        self.asking = messages.LOAD_PROBE if reports else messages.PROBE
         self.addresses: dict[str, Address] = {}
         self.leaving: dict[str, float] = {}  # since when each backend has been known to drain or be gone
 
@@ -118,12 +121,15 @@
 
     async def _probe(self, backend: str) -> None:
         scope = anyio.CancelScope(deadline=anyio.current_time() + self.PROBE_TIME_OUT)
-        outcome = Outcome.BROKEN_OFF
+        outcome, report = Outcome.BROKEN_OFF, NO_REPORT
         try:
-            outcome = outcome_of(await self._ask(backend, messages.PROBE, self.PROBE_TIME_OUT, scope))
+            result = await self._ask(backend, self.asking, self.PROBE_TIME_OUT, scope)
+            outcome = outcome_of(result)
+            if self.asking is messages.LOAD_PROBE and outcome is Outcome.COMPLETED:
+                report = messages.decode_report(result.body)
         except Exception:
             self.log.exception("a probe failed")
-        self.told.probe_ended(backend, outcome)
+        self.told.probe_ended(backend, outcome, report)
 
     async def _ask(
         self, backend: str, message: Message, time_left: float, scope: anyio.CancelScope
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -194,8 +194,8 @@
         self.seats: list[Seat] = []
 
     def rebuild(self, backends: list[Backend], ratio: Callable[[Backend], float], part: float = 1.0) -> None:
-        """Rescale the weights, largest 100; mature seats start anew, ramping ones keep what is unspent: under a
-        trickle one that started over each time would never come to its turn."""
+        """Rescale the weights, largest 100; mature seats start anew, ramping ones keep what is unspent:
+        one that started over each time would never come to its turn under a trickle."""
         before = {seat.backend.id: seat for seat in self.seats}
         given = [100.0 if backend.weight is None else max(backend.weight, 0.0) for backend in backends]
         largest = max(given, default=0.0) or 1.0
@@ -245,7 +245,7 @@
 class Push:
     """One push of an invocation."""
 
-    def __init__(self, backend: Backend, sent: float, cost: float, ahead: float, idle: bool) -> None:
+    def __init__(self, backend: Backend, sent: float, cost: float, ahead: float, idle: bool = True) -> None:
         self.backend, self.sent, self.cost, self.ahead, self.idle = backend, sent, cost, ahead, idle
         self.outcome: Outcome | None = None
         self.counted = True  # among what is out, until it ends or its target time has passed
@@ -298,9 +298,9 @@
 class Health:
     """Tells a backend's troubles apart by what comes back from it and what does not.
 
-    dead: connections break or are not made. hung: nothing comes back from pushes or a probe, or a report shows
-    none completed. erring: it answers, with errors. These are ejected. slow, paused, robbed of its machine,
-    full: these only come out longer in `wait`, so that others are picked."""
+    dead: connections break or are not made. hung: nothing comes back from pushes or a probe, or its report
+    shows none completed. erring: it answers, with errors. These are ejected. slow, paused, robbed of its
+    machine, full: these only come out longer in `wait`, so that others are picked."""
 
     MEMORY = 4.0  # seconds: dozens of answers at ten a second, and a trouble is forgotten within ten
     ANSWERS = 3.0  # of a backend, that memory holds at least: one alone may have been a heavy invocation …
@@ -466,8 +466,8 @@
             held = 0.05 * (2.0 ** min(max(view.fulls - self.ROW, 0), 4) - 1.0)
             view.full_until = now + held * (0.5 + self.chance.draw())
         elif outcome in (Outcome.BROKEN_OFF, Outcome.UNREACHABLE):
-            # Guards against sound backends kept out for connections that break one by one: those of pushes out
-            # together, or one that is not made, speak of the process.
+            # Guards against sound backends kept out for connections that break one by one: pushes that were
+            # out together, or one that is not made, speak of the process.
             together = outcome is Outcome.UNREACHABLE or push.sent <= view.sign_at
             view.refused |= outcome is Outcome.UNREACHABLE
             view.signs, view.sign_at = view.signs + 1 if together else 1, now
@@ -489,7 +489,8 @@
         for backend in backends:
             view = self.view(backend)
             usual = max(self.SILENCE, min(1.5 * self.longest(now), 3.0 * self.SILENCE))
-            if view.open and not view.cause and view.silent(now) > usual * (1.0 if len(view.open) > 1 else 2.0):
+            usual *= 1.0 if len(view.open) > 1 else 2.0
+            if view.open and not view.cause and view.silent(now) > usual:
                 self._eject(backend, view, "hung", now)
 
     def probed(self, backend: Backend, outcome: Outcome, now: float) -> str:
@@ -522,9 +523,8 @@
         # A process that broke its connections has restarted, whatever else it is out for.
         view.cause = "dead" if "dead" in (cause, view.cause) else cause
         # A sentence that starts while a trial is out makes that trial void: else no other would follow.
-        view.trial = False
         sentence = min(self.FIRST_SENTENCE * 2.0**view.strikes, self.LAST_SENTENCE)
-        view.strikes += 1
+        view.trial, view.strikes = False, view.strikes + 1
         view.until = now + sentence * (0.75 + 0.5 * self.chance.draw())
 
     def _readmit(self, backend: Backend, view: View) -> str:
@@ -565,8 +565,7 @@
         self.top, self.least = max(self.utilities.values()) or 1.0, min(self.utilities.values())
         self.came_of: defaultdict[str, float] = defaultdict(float)  # invocations, to each offering
         self.shares: dict[str, tuple[float, float]] = {}  # what each tenant has left, and as of when
-        self.best = 0.0  # the most utility for a second of work seen lately
-        self.fair = 0.0  # this node's part of the backends; 0 until it is known
+        self.best, self.fair = 0.0, 0.0  # the most utility for a second of work lately; this node's backends
         self.room = float("inf")  # how many pushes this node may have out; may be under one
         self.arrivals, self.span = Fading(self.LONGEST), self.LONGEST
         self.ends, self.lates = Fading(self.span), Fading(self.span)
@@ -661,7 +660,7 @@
     """What part of the invocations to turn away unread, so that a node short of its core answers in time.
 
     Guards against a node that reads all that comes, each too late: its clients leave and come anew. Acts only
-    where its host tells of lateness; an integral control, since what fits the core is not known beforehand."""
+    where its host tells of lateness; an integral control: what fits the core is not known beforehand."""
 
     AIM = 0.25  # of the shortest target time may pass before what came is read: enough to see, little to lose
     RISE = 2.0  # a second, at twice the aim and more: a surge is met within a few tenths of a second
@@ -695,10 +694,10 @@
     def came(self) -> None:
         self.budget = min(self.budget + self.RATIO, self.BURST)
 
-    def allows(self, live: Live) -> bool:
+    def allows(self, live: Live, free: bool = False) -> bool:
         """The least utility gets one further push, the most all that the site permits."""
         most = 2 + round((self.max_pushes - 2) * live.offering.utility / self.top)
-        return len(live.pushes) < most and self.budget >= 1.0
+        return len(live.pushes) < (self.max_pushes if free else most) and (free or self.budget >= 1.0)
 
 
 class Live:
@@ -799,8 +798,8 @@
 
     def turns_away(self, now: float, offering: str, time_left: float, waited: float) -> float | None:
         """When to come back, for what lay unread, never pushed, and is not to be read; None: it is taken."""
-        offering = self.offerings[offering]
         self.core.seen(waited, now)
+        offering = self.offerings[offering]
         rank = self.admission.standing(offering, self.health.cost(offering, now))
         taken = time_left > self.LAST_MOMENT and not self.core.refuses(rank, self.chance)
         return None if taken else self._come_back(offering)
@@ -969,8 +968,9 @@
 
     def _push_again(self, live: Live, now: float) -> None:
         """Nothing is out any more and there is no answer: push on if that is allowed, or give up at once."""
-        backend = self._pick(live, now) if self.retries.allows(live) else None
-        self.retries.budget -= backend is not None
+        free = live.pushes[-1].outcome is Outcome.UNREACHABLE  # it made no work anywhere (incident i1f0c8a)
+        backend = self._pick(live, now) if self.retries.allows(live, free) else None
+        self.retries.budget -= backend is not None and not free
         self._push(live, backend, now)
 
     def _give_up(self, live: Live, now: float) -> None:
@@ -1068,7 +1068,7 @@
     def _readmitted(self, backend: Backend, cause: str, now: float) -> None:
         if cause:
             view = self.health.view(backend)
-            # Guards against sound backends ramped for broken connections: a new process took none for a while.
+            # Guards against sound backends ramped for broken connections: a new process refused some first.
             self.roster.back(backend, view.since, cause == "dead" and view.refused, now)
             view.refused = False
             self._rebuild(now)
@@ -1089,11 +1089,8 @@
 
         Guards against nodes of busy clients that nack while the fleet has room: only a front deals evenly. By
         what comes, since a part by what is let out holds itself small; all parts add up. 0: not known yet."""
-        even = len(self.roster.usable) / self.nodes
-        usual = self.health.usual.read(now)
-        if not self.limits.asks:
-            return even
-        if not usual or now <= self.began:
-            return 0.0
+        even, usual = len(self.roster.usable) / self.nodes, self.health.usual.read(now)
+        if not (self.limits.asks and usual and now > self.began):
+            return 0.0 if self.limits.asks else even
         seen = 1.0 - exp((self.began - now) / Admission.LONGEST)
         return max(rate / seen * self.health.took.read(now) / usual, 0.25 * even)
--- a/thornladder/host.py
+++ b/thornladder/host.py
@@ -17,7 +17,7 @@
 from thornladder.backends.pushes import Pushes
 from thornladder.discovery.watch import Watch
 from thornladder.exchange import Exchange
-from thornladder.interface import ListKind, Outcome
+from thornladder.interface import ListKind, Outcome, Report
 from thornladder.messages import Answer, Ending, ListAnswer
 from thornladder.tasks import Tasks
 
@@ -146,8 +146,8 @@
         id = exchange.invocation.id
         self._tell_of(exchange, self.node.on_push_ended, id, number, outcome, took, exchange.over)
 
-    def probe_ended(self, backend: str, outcome: Outcome) -> None:
-        self._tell(self.node.on_probe_ended, backend, outcome)
+    def probe_ended(self, backend: str, outcome: Outcome, report: Report) -> None:
+        self._tell(self.node.on_probe_ended, backend, outcome, report)
 
     def list_told(self, answer: ListAnswer | None) -> None:
         if answer is None:
--- a/thornladder/interface.py
+++ b/thornladder/interface.py
@@ -128,7 +128,6 @@
     offering: str
     tenant: str
     time_left: float
-    hint: float  # estimated cost in seconds, 0 where there is none
     key: int | None
     again: bool  # the client says that it tries once more
 
--- a/thornladder/messages.py
+++ b/thornladder/messages.py
@@ -11,13 +11,13 @@
 import h11
 
 from thornladder import interface as api
-from thornladder.fields import MICRO, lookup, objects, optional, parse, take
-from thornladder.settings import Address, address
+from thornladder.fields import Malformed, lookup, objects, optional, parse, take
+from thornladder.settings import Address, address, report
 
 MOST_BODY = 64 * 1024
 Headers = list[tuple[bytes, bytes]]
 
-READY_PATH, LIVE_PATH = b"/health/ready", b"/health/live"
+READY_PATH, LIVE_PATH, LOAD_PATH = b"/health/ready", b"/health/live", b"/stats"
 LIST_PATH = "/registry/instances"
 STATES = {"in_service": api.State.RUNNING, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
 # They belong to one connection, or are written anew on the next.
@@ -27,7 +27,7 @@
 )  # fmt: skip
 _ID = re.compile(rb"[\x21-\x7e]{1,128}")
 _LENGTH = re.compile(rb"\n(?i:content-length)[ \t]*:[ \t]*([^\r\n]*)")
-_READ_HERE = (b"x-call-id", b"x-budget-ms", b"x-caller", b"x-call-cost", b"x-again", b"transfer-encoding")
+_READ_HERE = (b"x-call-id", b"x-budget-ms", b"x-caller", b"x-again", b"transfer-encoding")
 _KEY = re.compile(rb"(?:^|&)key=([0-9a-fA-F]{1,16})(?:&|$)")
 
 
@@ -126,13 +126,11 @@
     if budget is not None and not (budget.isdigit() and len(budget) <= 9):
         return BadInput(400, "X-Budget-Ms must be whole milliseconds")
     time_left = offering.cut_off if budget is None else min(int(budget) / 1000.0, offering.cut_off)
-    cost = found.get(b"x-call-cost", b"")
     invocation = api.Invocation(
         id=id.decode(),
         offering=name,
         tenant=found.get(b"x-caller", b"").decode("latin-1"),
         time_left=time_left,
-        hint=int(cost) / MICRO if cost.isdigit() and len(cost) <= 12 else 0.0,
         key=_key(query),
         again=found.get(b"x-again") == b"1",
     )
@@ -196,6 +194,8 @@
 # Backends.
 
 PROBE = Message(b"GET", LIVE_PATH, [], b"")
+LOAD_PROBE = Message(b"GET", LOAD_PATH, [], b"")
+MOST_REPORT = 4096  # bytes: a load report holds four values at most
 
 
 def encode_push(message: Message, time_left: float, host: str) -> h11.Request:
@@ -216,6 +216,16 @@
     return api.Outcome.ERRED
 
 
+def decode_report(body: bytes) -> api.Report:
+    """The load report in a probe's answer; what cannot be read tells nothing and ends nothing."""
+    if not body or len(body) > MOST_REPORT:
+        return api.NO_REPORT
+    try:
+        return report(parse(body))
+    except Malformed:
+        return api.NO_REPORT
+
+
 def completed(reply: Reply) -> Answer:
     return Answer(Ending.COMPLETED, headers=reply.headers, body=reply.body)
 
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -42,7 +42,8 @@
         transport = config.transport
         pool = Pool(sockets - clients, transport.idle_close, transport.connect_time_out, clock)
         held = Held(max(config.memory // LARGE_BODIES, 2**20))
-        pushes = Pushes(pool, transport.drain_grace, held, tasks, host, clock, log)
+        reports = config.decisions["limits"].asks > 0.0
+        pushes = Pushes(pool, transport.drain_grace, held, tasks, host, clock, log, reports)
         watch = Watch(config.discovery, known.version, tasks, host.list_told, log)
         host.start(pushes, watch, known, config.seed, config.list_is_told, config.decisions)
         desk = Desk(host, host.node.offerings, clock, held, lambda: host.lag.late, host.turns_away, log)
--- a/thornladder/settings.py
+++ b/thornladder/settings.py
@@ -68,10 +68,10 @@
 
 def _asks(info: dict[str, Any], limits: dict[str, Any]) -> float:
     """Probes for load reports that an invocation may cost; none where probes bring no load."""
-    told = take(info, "Report", dict, {})
-    source = lookup(REPORT_SOURCES, told, "Source") if "Source" in told else False
     price = take(take(info, "Prices", dict, {}), "Probe", float, 0.0)
-    if not source or not take(limits, "Probes", bool, False):
+    if price < 0.0:
+        raise Malformed("Prices.Probe must not be negative")
+    if not reports_by_probes(info) or not take(limits, "Probes", bool, False):
         return 0.0
     return min(PROBE_SPENDING / price, MOST_ASKS) if price > 0.0 else MOST_ASKS
 
@@ -88,6 +88,37 @@
     return float(value) if number else None
 
 
+# What only deployments with a node for each client have, and where it stands in the settings. Their load
+# reports come with probes; traffic is not even, so that tenants' allowances cannot be dealt out evenly.
+OWN_NODE_ONLY = (("PolicyLimits", "Peers"), ("Blend", "Tail"), ("Blend", "BorneMisses"),
+                 ("Blend", "Availability"), ("Blend", "NinesWanted"))  # fmt: skip
+PAIRS = (("Tail", "BorneMisses"), ("Availability", "NinesWanted"))  # each needs the other to mean anything
+
+
+def check_shape(info: dict[str, Any]) -> None:
+    """Refuse settings of which some speak of a node for each client and some of a pool of nodes."""
+    told, limits, blend = (take(info, name, dict, {}) for name in ("Report", "PolicyLimits", "Blend"))
+    own_node = reports_by_probes(info)
+    if own_node:
+        if not take(limits, "Probes", bool, False):
+            raise Malformed("PolicyLimits.Probes must be true where Report.Source is 'pull'")
+        if "rif" not in take(told, "Fields", list, []):
+            raise Malformed("Report.Fields must name 'rif' where Report.Source is 'pull'")
+        if take(info, "Tenants", list, []):
+            raise Malformed("Tenants must be empty where Report.Source is 'pull'")
+    for part, name in () if own_node else OWN_NODE_ONLY:
+        if (info.get(part) or {}).get(name):
+            raise Malformed(f"{part}.{name} must be absent or 0 where Report.Source is not 'pull'")
+    for weight, figure in PAIRS:
+        if take(blend, weight, float, 0.0) > 0.0 and not take(blend, figure, float, 0.0) > 0.0:
+            raise Malformed(f"Blend.{figure} must be above 0 where Blend.{weight} is")
+
+
+def reports_by_probes(info: dict[str, Any]) -> bool:
+    told = take(info, "Report", dict, {})
+    return "Source" in told and lookup(REPORT_SOURCES, told, "Source")
+
+
 def list_is_told(info: dict[str, Any]) -> bool:
     """Whether changes of the list come unasked, as far as the decisions go."""
     return info.get("Discovery") != "on_request"
@@ -152,6 +183,7 @@
     info = take(message, "settings", dict)
     limits, rules = take(info, "PolicyLimits", dict), take(info, "Rules", dict)
     given = take(message, "limits", dict, {})
+    check_shape(info)
     try:
         seed = int(take(message, "seed", str), 16)
     except ValueError:
