--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -550,7 +550,7 @@
     LEAST_ROOM = 0.25  # pushes for each backend: less and nothing more would be learned
     FEW = 16.0  # invocations: a span that sees fewer says nothing of how many pushes are out or late
     GROWTH = 1.0  # of a push for each backend and second: from the least room to the most within a surge
-    MOST_ROOM = 6.0  # however well answers come: what holds more is slowed by that alone
+    MOST_ROOM = 8.0  # however well answers come: what holds more is slowed by that alone
     FIRST_ROOM = 1.0  # push at each backend by all nodes: queues of the first seconds slow backends for long
     SAVED = 5.0  # invocations that a tenant may save up: as many as come together by chance in a trickle
     LONGEST = 5.0  # seconds: the longest look back, well under what a surge lasts
@@ -694,10 +694,10 @@
     def came(self) -> None:
         self.budget = min(self.budget + self.RATIO, self.BURST)
 
-    def allows(self, live: Live, free: bool = False) -> bool:
+    def allows(self, live: Live) -> bool:
         """The least utility gets one further push, the most all that the site permits."""
         most = 2 + round((self.max_pushes - 2) * live.offering.utility / self.top)
-        return len(live.pushes) < (self.max_pushes if free else most) and (free or self.budget >= 1.0)
+        return len(live.pushes) < most and self.budget >= 1.0
 
 
 class Live:
@@ -968,9 +968,8 @@
 
     def _push_again(self, live: Live, now: float) -> None:
         """Nothing is out any more and there is no answer: push on if that is allowed, or give up at once."""
-        free = live.pushes[-1].outcome is Outcome.UNREACHABLE  # it made no work anywhere (incident i1f0c8a)
-        backend = self._pick(live, now) if self.retries.allows(live, free) else None
-        self.retries.budget -= backend is not None and not free
+        backend = self._pick(live, now) if self.retries.allows(live) else None
+        self.retries.budget -= backend is not None
         self._push(live, backend, now)
 
     def _give_up(self, live: Live, now: float) -> None:
@@ -1014,7 +1013,8 @@
         for live in list(self.live.values()):
             for push in live.pushes:
                 # Guards against a few backends that keep what they get and so fill the room for all others.
-                if push.counted and now - push.sent > live.offering.target_time:
+                silent = self.health.view(push.backend).cause == "hung"
+                if push.counted and (silent or now - push.sent > live.offering.target_time):
                     self._count_off(push, now)
             if now >= live.look_at and live.open == 1 and not live.answered and not live.moving:
                 self._look_again(live, now)
