--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -363,11 +363,11 @@
         if (prior := self.priors.get(backend.zone)) is None:
             prior = max(self.zones[backend.zone].slowness(self.PRIOR * cost, 1.0, now), 1.0)
             self.priors[backend.zone] = prior  # one look a zone for all seats of a pick
-        return self.view(backend).pace.slowness(self.PRIOR * cost, prior, now)
+        return self.views[backend.id].pace.slowness(self.PRIOR * cost, prior, now)
 
     def wait(self, backend: Backend, cost: float, now: float) -> float:
         """Seconds until this backend would answer a push of this cost, as far as this node can tell."""
-        view = self.view(backend)
+        view = self.views[backend.id]
         wait = self.slowness(backend, cost, now) * self.load(view, cost, now)
         if view.open:
             wait = max(wait, view.silent(now))
@@ -380,9 +380,9 @@
     def load(self, view: View, cost: float, now: float) -> float:
         """Seconds of work that a push of this cost meets with itself, against what a backend usually holds.
         What a report says of others' pushes fades towards what all lately hold; without, own ones are all."""
-        usual, others = self.usual.read(now), self.held.read(now)
-        if not usual:
+        if not self.usual.count.sum:
             return view.work + cost
+        usual, others = self.usual.read(now), self.held.read(now)
         others += (view.others - others) * exp((view.told - now) / self.TRUST)
         return (view.work + (others + 1.0) * cost) / (usual + 1.0)
 
@@ -422,7 +422,7 @@
         return self.slowest * exp((self.slowest_at - now) / 10.0)
 
     def pickable(self, backend: Backend, now: float, crowded: bool = False) -> bool:
-        view = self.view(backend)
+        view = self.views[backend.id]
         return not view.cause and now >= view.full_until or crowded and view.cause not in ("", "dead")
 
     def ended(self, key: tuple[str, int], push: Push, offering: Offering, now: float) -> str:
@@ -486,11 +486,11 @@
 
     def look(self, backends: list[Backend], now: float) -> None:
         """Eject what has gone silent with several pushes, or one very old one, unanswered."""
+        usual = max(self.SILENCE, min(1.5 * self.longest(now), 3.0 * self.SILENCE))
         for backend in backends:
-            view = self.view(backend)
-            usual = max(self.SILENCE, min(1.5 * self.longest(now), 3.0 * self.SILENCE))
-            usual *= 1.0 if len(view.open) > 1 else 2.0
-            if view.open and not view.cause and view.silent(now) > usual:
+            view = self.views[backend.id]
+            limit = usual if len(view.open) > 1 else 2.0 * usual
+            if view.open and not view.cause and view.silent(now) > limit:
                 self._eject(backend, view, "hung", now)
 
     def probed(self, backend: Backend, outcome: Outcome, now: float) -> str:
@@ -515,8 +515,7 @@
 
     def _eject(self, backend: Backend, view: View, cause: str, now: float) -> None:
         if not view.cause:
-            view.since, view.strikes = now, 0
-            self.ejected += 1
+            view.since, view.strikes, self.ejected = now, 0, self.ejected + 1
             self.log(f"ejected {backend.id}: {cause}")
         elif now < view.until:
             return
@@ -528,9 +527,8 @@
         view.until = now + sentence * (0.75 + 0.5 * self.chance.draw())
 
     def _readmit(self, backend: Backend, view: View) -> str:
-        cause, view.cause = view.cause, ""
+        cause, view.cause, view.signs = view.cause, "", 0
         self.ejected -= 1
-        view.signs = 0
         view.pace.took.sum = view.pace.expected.sum = view.erred.sum = view.broke.sum = 0.0
         self.log(f"readmitted {backend.id}: was {cause}")
         return cause
@@ -543,14 +541,14 @@
     HIGH = 0.6  # … and to the most: beyond it an answer is likely to be late whatever it is for
     OPEN = 0.3  # of the room, to any utility: a flood worth next to nothing leaves room for the least worth
     LATE = 0.3  # of the target time: later than that, queues already slow backends down (incident if777b3)
-    SOON = 0.2  # the same where reports even the queues out: what is late there is late everywhere
+    SOON, EVENED = 0.2, 8.0  # late, and the first and most room, where reports even the queues out
     MANY_LATE = 0.3  # more late answers than a fifth of the fleet in trouble makes
     CROWDED = 0.15  # half of that: from here on copies add to the crowd and any zone with room is welcome
     PAUSE = 0.2  # of the span looked back on, between two cuts, so that each cut is seen before the next
     LEAST_ROOM = 0.25  # pushes for each backend: less and nothing more would be learned
     FEW = 16.0  # invocations: a span that sees fewer says nothing of how many pushes are out or late
     GROWTH = 1.0  # of a push for each backend and second: from the least room to the most within a surge
-    MOST_ROOM = 8.0  # however well answers come: what holds more is slowed by that alone
+    MOST_ROOM = 6.0  # however well answers come: what holds more is slowed by that alone
     FIRST_ROOM = 1.0  # push at each backend by all nodes: queues of the first seconds slow backends for long
     SAVED = 5.0  # invocations that a tenant may save up: as many as come together by chance in a trickle
     LONGEST = 5.0  # seconds: the longest look back, well under what a surge lasts
@@ -559,8 +557,8 @@
         self, tenants: list[Tenant], over_share: float, nodes: int, offerings: list[Offering], by_work: bool
     ) -> None:
         self.rates = {tenant.name: tenant.allowance / nodes for tenant in tenants}
-        self.over_share, self.by_work = over_share, by_work
-        self.worst_offering, self.first, self.late = 0.0, self.FIRST_ROOM, self.LATE
+        self.over_share, self.by_work, self.worst_offering = over_share, by_work, 0.0
+        self.first, self.most, self.late = self.FIRST_ROOM, self.MOST_ROOM, self.LATE
         self.utilities = {offering.name: offering.utility for offering in offerings}
         self.top, self.least = max(self.utilities.values()) or 1.0, min(self.utilities.values())
         self.came_of: defaultdict[str, float] = defaultdict(float)  # invocations, to each offering
@@ -573,7 +571,8 @@
 
     def sized(self, fair: float, now: float) -> None:
         """This node's part of the backends, its room with it; a trickle makes it look back further."""
-        self.room = self.room * fair / self.fair if self.fair else self.first * fair or float("inf")
+        if self.room == float("inf") or self.first == self.most:
+            self.room = self.room * fair / self.fair if self.fair else self.first * fair or float("inf")
         self.fair = fair
         self.span = min(self.FEW / max(self.rate(now), 1e-6), self.LONGEST)
         self.ends.span = self.lates.span = max(self.span, 0.5)
@@ -653,7 +652,7 @@
             if now - self.cut_at > self.PAUSE * self.ends.span:
                 self.room, self.cut_at = max(self.room * 0.85, self.LEAST_ROOM * self.fair), now
         elif not late and max(out, self.level(out, now)) >= self.OPEN * self.room:
-            self.room = min(self.room + self.GROWTH * self.fair * since, self.MOST_ROOM * self.fair)
+            self.room = min(self.room + self.GROWTH * self.fair * since, self.most * self.fair)
 
 
 class Core:
@@ -743,9 +742,9 @@
         self.rotation = Rotation(self.chance, 0.75 * cold.multiple)  # a half costs much in a release
         self.health = Health(self.chance, host.log)
         self.admission = Admission(tenants, over_share_worth, nodes, offerings, utility_by_work)
-        self.admission.worst_offering = worst_offering
         if limits.asks:
-            self.admission.first, self.admission.late = Admission.MOST_ROOM, Admission.SOON
+            self.admission.first = self.admission.most = Admission.EVENED
+            self.admission.late, self.admission.worst_offering = Admission.SOON, worst_offering
         self.retries = Retries(limits.max_pushes, top)
         self.core = Core(min(offering.target_time for offering in offerings))
         self.live: dict[str, Live] = {}
@@ -814,7 +813,8 @@
         push.outcome = outcome
         live.open -= 1
         timed_out = outcome is Outcome.TIMED_OUT
-        skip = timed_out and push.overtaken >= Health.LOST or self.health.view(push.backend).cause
+        skip = timed_out and push.overtaken >= Health.LOST
+        skip |= bool(self.limits.asks and self.health.view(push.backend).cause)
         if (outcome is Outcome.COMPLETED or timed_out) and not skip:
             in_time = push.cost + self.admission.late * live.offering.target_time
             self.admission.ended(timed_out or took > in_time, self.out, now)
@@ -1013,8 +1013,8 @@
         for live in list(self.live.values()):
             for push in live.pushes:
                 # Guards against a few backends that keep what they get and so fill the room for all others.
-                silent = self.health.view(push.backend).cause == "hung"
-                if push.counted and (silent or now - push.sent > live.offering.target_time):
+                gone = self.limits.asks and self.health.view(push.backend).cause == "hung"
+                if push.counted and (gone or now - push.sent > live.offering.target_time):
                     self._count_off(push, now)
             if now >= live.look_at and live.open == 1 and not live.answered and not live.moving:
                 self._look_again(live, now)
