--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -12,7 +12,7 @@
 
 import anyio
 import pytest
-from harness import Bank, Client, Got, Peer, config, listed, news, reply, until
+from harness import SETTINGS, Bank, Client, Got, Peer, config, listed, news, reply, until
 
 pytestmark = pytest.mark.anyio
 READY = b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -157,6 +157,16 @@
     assert ended.returncode == 2 and ended.stderr.count(b"\n") == 1 and not ended.stdout
 
 
+def test_settings_of_two_shapes_end_it_with_the_key(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    own_node = {"Report": {"Source": "pull", "Fields": ["rif"]}, "Tenants": [{"Name": "t", "Share": 1.0}]}
+    path.write_text(json.dumps(config([], 1, info={**SETTINGS, **own_node})))
+    ended = subprocess.run(RUN, env={**os.environ, "EDGE_CONFIG": str(path)}, capture_output=True, check=False)
+    assert ended.returncode == 2 and not ended.stdout
+    words = "Tenants must be empty where Report.Source is 'pull'"
+    assert ended.stderr.decode() == f"thornladder: {path}: {words}\n"
+
+
 async def test_an_address_in_use_ends_it_with_one_line(tmp_path: Path) -> None:
     async with Bank() as bank:
         path = tmp_path / "config.json"
