--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -161,7 +161,8 @@
     path = tmp_path / "config.json"
     own_node = {"Report": {"Source": "pull", "Fields": ["rif"]}, "Tenants": [{"Name": "t", "Share": 1.0}]}
     path.write_text(json.dumps(config([], 1, info={**SETTINGS, **own_node})))
-    ended = subprocess.run(RUN, env={**os.environ, "EDGE_CONFIG": str(path)}, capture_output=True, check=False)
+    environment = {**os.environ, "EDGE_CONFIG": str(path)}
+    ended = subprocess.run(RUN, env=environment, capture_output=True, check=False)
     assert ended.returncode == 2 and not ended.stdout
     words = "Tenants must be empty where Report.Source is 'pull'"
     assert ended.stderr.decode() == f"thornladder: {path}: {words}\n"
