--- a/thornladder/backends/pushes.py
+++ b/thornladder/backends/pushes.py
@@ -106,8 +106,9 @@
         outcome, answer = Outcome.BROKEN_OFF, None
         try:
             result = await self._ask(backend, exchange.message, time_out, exchange.scopes[number])
-            answer = messages.completed(result) if outcome_of(result) is Outcome.COMPLETED else None
-            outcome = outcome_of(result)
+            ended = outcome_of(result)
+            answer = messages.completed(result) if ended is Outcome.COMPLETED else None
+            outcome = ended
         except Exception:
             self.log.exception("a push failed")
         try:
--- a/thornladder/clients/early.py
+++ b/thornladder/clients/early.py
@@ -31,7 +31,7 @@
         if offering is None:
             return None
         budget = _BUDGET.search(data)
-        given = min(int(budget[1]) / 1000.0, offering.cut_off) if budget else offering.cut_off
+        given = messages.time_left(budget[1] if budget else None, offering)
         come_back = self.decide(offering.name, given - waited, waited)
         return None if come_back is None else messages.early_nack(come_back, closing)
 
--- a/thornladder/clients/front.py
+++ b/thornladder/clients/front.py
@@ -10,8 +10,8 @@
 import anyio
 from anyio.abc import SocketStream
 
+from thornladder import streams
 from thornladder.clients.connection import ClientConnection, Desk
-from thornladder.streams import unread_for
 from thornladder.tasks import Tasks
 
 
@@ -71,7 +71,7 @@
                 raw.close()
                 continue
             late = bool(first) and self.desk.late()
-            waited = unread_for(raw) if late else 0.0
+            waited = streams.unread_for(raw) if late else 0.0
             if late and (nack := self.desk.early.nack(first, waited, True)):
                 with suppress(OSError):
                     raw.send(nack)  # a kernel takes it whole on a connection with nothing under way
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -245,7 +245,7 @@
 class Push:
     """One push of an invocation."""
 
-    def __init__(self, backend: Backend, sent: float, cost: float, ahead: float, idle: bool = True) -> None:
+    def __init__(self, backend: Backend, sent: float, cost: float, ahead: float, idle: bool) -> None:
         self.backend, self.sent, self.cost, self.ahead, self.idle = backend, sent, cost, ahead, idle
         self.outcome: Outcome | None = None
         self.counted = True  # among what is out, until it ends or its target time has passed
@@ -452,9 +452,10 @@
             if took > self.longest(now):
                 self.slowest, self.slowest_at = took, now
             # Guards against a division by nothing: one whose cost was struck off when others overtook it.
-            slowness = max(1.0, self.slowness(push.backend, push.cost, now)) if push.cost else 1.0
+            idle = push.idle and push.cost > 0.0
+            slowness = max(1.0, self.slowness(push.backend, push.cost, now)) if idle else 1.0
             self._learn(push, took, push.ahead + push.cost, now)
-            if push.cost and push.idle:
+            if idle:
                 # Guards against a crowd passing for costly work: other nodes' pushes wait there unseen.
                 self.units[offering.name].add(took / slowness, now)
             if view.cause == "hung" or trial:
@@ -554,11 +555,13 @@
     LONGEST = 5.0  # seconds: the longest look back, well under what a surge lasts
 
     def __init__(
-        self, tenants: list[Tenant], over_share: float, nodes: int, offerings: list[Offering], by_work: bool
-    ) -> None:
+        self, tenants: list[Tenant], over_share: float, nodes: int, offerings: list[Offering], by_work: bool,
+        uneven: bool, worst_offering: float,
+    ) -> None:  # fmt: skip
         self.rates = {tenant.name: tenant.allowance / nodes for tenant in tenants}
-        self.over_share, self.by_work, self.worst_offering = over_share, by_work, 0.0
-        self.first, self.most, self.late = self.FIRST_ROOM, self.MOST_ROOM, self.LATE
+        self.over_share, self.by_work, self.uneven = over_share, by_work, uneven
+        self.first, self.most = (self.EVENED, self.EVENED) if uneven else (self.FIRST_ROOM, self.MOST_ROOM)
+        self.late, self.worst_offering = (self.SOON, worst_offering) if uneven else (self.LATE, 0.0)
         self.utilities = {offering.name: offering.utility for offering in offerings}
         self.top, self.least = max(self.utilities.values()) or 1.0, min(self.utilities.values())
         self.came_of: defaultdict[str, float] = defaultdict(float)  # invocations, to each offering
@@ -571,7 +574,7 @@
 
     def sized(self, fair: float, now: float) -> None:
         """This node's part of the backends, its room with it; a trickle makes it look back further."""
-        if self.room == float("inf") or self.first == self.most:
+        if self.uneven or self.room == float("inf"):
             self.room = self.room * fair / self.fair if self.fair else self.first * fair or float("inf")
         self.fair = fair
         self.span = min(self.FEW / max(self.rate(now), 1e-6), self.LONGEST)
@@ -606,11 +609,10 @@
 
     def earns(self, offering: Offering) -> float:
         """Its utility; for the least also what the worst-served offering counts for by itself."""
-        count = sum(self.came_of.values())
-        if offering.utility > self.least or not count:
+        if not (self.worst_offering and self.came_of) or offering.utility > self.least:
             return offering.utility
-        mean = sum(came * self.utilities[name] for name, came in self.came_of.items()) / count
-        alone = mean * count / max(self.came_of[offering.name], 1.0)
+        whole = sum(came * self.utilities[name] for name, came in self.came_of.items())
+        alone = whole / max(self.came_of[offering.name], 1.0)
         return min(offering.utility + self.worst_offering * (alone - offering.utility), self.top)
 
     def came(self, live: Live, now: float) -> None:
@@ -735,17 +737,15 @@
         self.host, self.zone, self.nodes = host, zone, nodes
         self.limits, self.cold, self.must_ask_in = limits, cold, must_ask_in or float("inf")
         self.offerings = {offering.name: offering for offering in offerings}
-        top = max(offering.utility for offering in offerings) or 1.0
         self.chance = Chance(seed)
         self.ramp = Ramp(cold.warm_up, cold.share)
         self.roster, self.part = Roster(self.ramp, now), Part(rank)
         self.rotation = Rotation(self.chance, 0.75 * cold.multiple)  # a half costs much in a release
         self.health = Health(self.chance, host.log)
-        self.admission = Admission(tenants, over_share_worth, nodes, offerings, utility_by_work)
-        if limits.asks:
-            self.admission.first = self.admission.most = Admission.EVENED
-            self.admission.late, self.admission.worst_offering = Admission.SOON, worst_offering
-        self.retries = Retries(limits.max_pushes, top)
+        self.admission = Admission(
+            tenants, over_share_worth, nodes, offerings, utility_by_work, limits.asks > 0.0, worst_offering
+        )
+        self.retries = Retries(limits.max_pushes, self.admission.top)
         self.core = Core(min(offering.target_time for offering in offerings))
         self.live: dict[str, Live] = {}
         self.asks, self.began = 0.0, now  # asks: probes for reports that may be sent
@@ -813,9 +813,9 @@
         push.outcome = outcome
         live.open -= 1
         timed_out = outcome is Outcome.TIMED_OUT
-        skip = timed_out and push.overtaken >= Health.LOST
-        skip |= bool(self.limits.asks and self.health.view(push.backend).cause)
-        if (outcome is Outcome.COMPLETED or timed_out) and not skip:
+        lost = timed_out and push.overtaken >= Health.LOST
+        ejected = self.limits.asks and self.health.view(push.backend).cause
+        if (outcome is Outcome.COMPLETED or timed_out) and not (lost or ejected):
             in_time = push.cost + self.admission.late * live.offering.target_time
             self.admission.ended(timed_out or took > in_time, self.out, now)
         self._count_off(push, now)
@@ -1082,9 +1082,9 @@
                 backend.ramp_start = None
         part = len(backends) / max(len(everyone), 1)
         self.rotation.rebuild(backends, lambda backend: self.ramp.ratio(backend, now), part or 1.0)
-        self.admission.sized(self._part(rate, now), now)
+        self.admission.sized(self._fair(rate, now), now)
 
-    def _part(self, rate: float, now: float) -> float:
+    def _fair(self, rate: float, now: float) -> float:
         """How many of the backends are this node's: an even part, or one by its traffic where reports come.
 
         Guards against nodes of busy clients that nack while the fleet has room: only a front deals evenly. By
--- a/thornladder/messages.py
+++ b/thornladder/messages.py
@@ -125,18 +125,22 @@
     budget = found.get(b"x-budget-ms")
     if budget is not None and not (budget.isdigit() and len(budget) <= 9):
         return BadInput(400, "X-Budget-Ms must be whole milliseconds")
-    time_left = offering.cut_off if budget is None else min(int(budget) / 1000.0, offering.cut_off)
     invocation = api.Invocation(
         id=id.decode(),
         offering=name,
         tenant=found.get(b"x-caller", b"").decode("latin-1"),
-        time_left=time_left,
+        time_left=time_left(budget, offering),
         key=_key(query),
         again=found.get(b"x-again") == b"1",
     )
     return invocation, Message(request.method, request.target, _passed_on(headers), body)
 
 
+def time_left(budget: bytes | None, offering: api.Offering) -> float:
+    """Seconds that a client gives, by what it says (milliseconds in digits) and at most by the offering."""
+    return offering.cut_off if budget is None else min(int(budget) / 1000.0, offering.cut_off)
+
+
 def _key(query: bytes) -> int | None:
     found = _KEY.search(query)
     return int(found[1], 16) if found else None
@@ -169,7 +173,6 @@
     return h11.Response(status_code=status, headers=headers, reason=_REASONS.get(status, b"")), body
 
 
-
 def early_nack(come_back: float, closing: bool) -> bytes:
     """A nack as it goes out, for those that are given no more than that."""
     when = b"Retry-After: %.3f\r\n" % come_back if come_back > 0.0 else b""
@@ -218,10 +221,8 @@
 
 def decode_report(body: bytes) -> api.Report:
     """The load report in a probe's answer; what cannot be read tells nothing and ends nothing."""
-    if not body or len(body) > MOST_REPORT:
-        return api.NO_REPORT
     try:
-        return report(parse(body))
+        return report(parse(body) if len(body) <= MOST_REPORT else None)
     except Malformed:
         return api.NO_REPORT
 
--- a/thornladder/settings.py
+++ b/thornladder/settings.py
@@ -107,7 +107,7 @@
         if take(info, "Tenants", list, []):
             raise Malformed("Tenants must be empty where Report.Source is 'pull'")
     for part, name in () if own_node else OWN_NODE_ONLY:
-        if (info.get(part) or {}).get(name):
+        if take(info, part, dict, {}).get(name):
             raise Malformed(f"{part}.{name} must be absent or 0 where Report.Source is not 'pull'")
     for weight, figure in PAIRS:
         if take(blend, weight, float, 0.0) > 0.0 and not take(blend, figure, float, 0.0) > 0.0:
--- a/thornladder/streams.py
+++ b/thornladder/streams.py
@@ -14,6 +14,7 @@
 # The other side has ended the stream, or this one has.
 BROKEN = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
+
 async def close(stream: SocketStream) -> None:
     """Ends both directions; when this returns nothing more goes out. An error on the way is nobody's."""
     with anyio.CancelScope(shield=True):
