A second address: status, maintenance of backends by hand, standby

Change: admin/, operations.py, maintenance.py, handover.py (the marks file), standby in Front and Desk.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import tempfile
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
@@ -393,6 +394,27 @@
         return await self.answer()
 
 
+async def call(port: int, method: str, path: str, body: bytes | None = None) -> tuple[int, dict]:
+    """One operator's call, whole; its answer has to come within a second and end the connection."""
+    with anyio.fail_after(1.0):
+        async with await anyio.connect_tcp("127.0.0.1", port) as stream:
+            size = b"" if body is None else b"Content-Length: %d\r\n" % len(body)
+            await stream.send(
+                f"{method} {path} HTTP/1.1\r\nHost: a\r\n".encode() + size + b"\r\n" + (body or b"")
+            )
+            return await called(stream)
+
+
+async def called(stream: anyio.abc.SocketStream) -> tuple[int, dict]:
+    text = b""
+    with suppress(anyio.EndOfStream):
+        while True:
+            text += await stream.receive()
+    head, _, body = text.partition(b"\r\n\r\n")
+    assert b"\r\nConnection: close" in head
+    return int(head.split()[1]), json.loads(body or b"{}")
+
+
 class Bank:
     """One node, some backends and a discovery service on loopback."""
 
@@ -414,17 +436,25 @@
         for peer in (*self.backends, self.discovery):
             await self.tasks.start(peer.serve)
         lines = [listed(number, peer.port) for number, peer in enumerate(self.backends)]
-        given = settings.decode(config(lines, self.discovery.port, self.sockets, self.memory, self.info))
+        file = config(lines, self.discovery.port, self.sockets, self.memory, self.info)
+        file["admin_addr"] = "127.0.0.1:0"
+        self.folder = tempfile.TemporaryDirectory()
+        given = settings.decode(file, {"TMPDIR": self.folder.name})
         self.tasks.start_soon(service.run, given, messages.decode_list(given.known), self.log)
         await until(lambda: self.log.facts("serving"))
         self.port = self.log.facts("serving")["listen"][1]
+        self.admin = self.log.facts("serving")["admin"][1]
         return self
 
     async def __aexit__(self, *_: object) -> None:
         self.tasks.cancel_scope.cancel()
         await self.tasks.__aexit__(None, None, None)
+        self.folder.cleanup()
         assert not [line for line, _ in self.log.lines if line in UNFORESEEN]
 
+    async def call(self, method: str, path: str, body: bytes | None = None) -> tuple[int, dict]:
+        return await call(self.admin, method, path, body)
+
     async def client(self) -> Client:
         return Client(await anyio.connect_tcp("127.0.0.1", self.port))
 
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,238 @@
+"""The second address: operators' calls, maintenance of backends by hand, clients sent away."""
+
+from __future__ import annotations
+
+import json
+import random
+from pathlib import Path
+
+import anyio
+import pytest
+from harness import Bank, Got, called, listed, news, reply, until
+
+from thornladder.admin.calls import MOST_BODY
+from thornladder.admin.server import Admin
+from thornladder.clients.front import Front
+from thornladder.handover import Marks, Sheet
+from thornladder.interface import Entry, ListKind, State
+from thornladder.maintenance import Maintenance, Mark
+from thornladder.messages import ListAnswer
+
+pytestmark = pytest.mark.anyio
+READY = b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"
+
+
+def done(_: Got) -> bytes:
+    return reply(200)
+
+
+def body(id: object) -> bytes:
+    return json.dumps({"host": id}).encode()
+
+
+async def test_status_says_yes_once_the_list_is_known_and_no_before() -> None:
+    async with Bank(done, tells=lambda _: None) as bank:
+        status, facts = await bank.call("GET", "/status")
+        assert (status, facts["ready"]) == (503, False)
+        bank.discovery.answer = lambda got: news(1) if got.target.endswith("=0") else None
+        await bank.discovery.streams[0].aclose()
+        await until(lambda: len(bank.discovery.got) >= 3)
+        status, facts = await bank.call("GET", "/status")
+        assert (status, facts["ready"], facts["backends"]) == (200, True, 1)
+
+
+BAD = [
+    (b"GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n", 404), (b"GET /standby HTTP/1.1\r\nHost: a\r\n\r\n", 405),
+    (b"POST /status HTTP/1.1\r\nHost: a\r\n\r\n", 405), (b"nonsense\r\n\r\n", 400),
+    (b"\x16\x03\x01\x02\r\n", 400),
+    (b"POST /standby HTTP/1.1\r\nHost: a\r\nContent-Length: -1\r\n\r\n", 400),
+    (b"POST /standby HTTP/1.1\r\nHost: a\r\nContent-Length: 99999999999\r\n\r\n", 413),
+    (b"POST /standby HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+    (b"POST /standby HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 20_000, 431),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("raw, status", BAD, ids=[str(number) for number in range(len(BAD))])
+async def test_what_is_no_call_is_told_so_and_changes_nothing(raw: bytes, status: int) -> None:
+    async with Bank(done) as bank:
+        async with await anyio.connect_tcp("127.0.0.1", bank.admin) as stream:
+            await stream.send(raw)
+            with anyio.fail_after(1.0):
+                assert (await called(stream))[0] == status
+        assert (await bank.call("GET", "/status"))[1]["standby"] is False
+
+
+@pytest.mark.parametrize(
+    "text, status",
+    [(b"", 400), (b"{", 400), (b"[]", 400), (b"{}", 400), (body(3), 400), (body(""), 400), (body(None), 400),
+     (b'{"host": "s0"', 400), (b"\xff\xfe", 400), (body("x" * 300), 400), (body("nobody"), 404),
+     (b" " * (MOST_BODY + 1), 413)],
+    ids=[str(number) for number in range(12)],
+)  # fmt: skip
+async def test_maintenance_of_what_is_no_backend_is_a_no(text: bytes, status: int) -> None:
+    async with Bank(done) as bank:
+        for path in ("/maintenance/enter", "/maintenance/exit"):
+            assert (await bank.call("POST", path, text))[0] == status
+        assert (await bank.call("GET", "/status"))[1]["maintenance"] == []
+
+
+async def test_a_call_cut_anywhere_is_heard_beside_a_crowd_that_says_nothing() -> None:
+    # A caller that holds its connection must not keep the next one out, nor take clients' descriptors.
+    chance = random.Random(11)
+    text = body("s0")
+    raw = b"POST /maintenance/enter HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
+    async with Bank(done, done, sockets=80) as bank:
+        crowd = [await anyio.connect_tcp("127.0.0.1", bank.admin) for _ in range(3 * Admin.MOST)]
+        for each in crowd[::2]:
+            await each.send(b"POST /sta")
+        async with await anyio.connect_tcp("127.0.0.1", bank.admin) as stream:
+            with anyio.fail_after(1.0):
+                at = 0
+                while at < len(raw):
+                    size = chance.randrange(1, 9)
+                    await stream.send(raw[at : at + size])
+                    at += size
+                assert (await called(stream))[0] == 200
+        assert (await bank.call("GET", "/status"))[1]["maintenance"] == ["s0"]
+        assert (await bank.ask("a0", "look")).target == "200"
+        for each in crowd:
+            await each.aclose()
+
+
+async def test_a_call_that_does_not_come_whole_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Admin, "WHOLE", 0.1)
+    async with Bank(done) as bank, await anyio.connect_tcp("127.0.0.1", bank.admin) as stream:
+        await stream.send(
+            b"POST /standby HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+        )
+        with anyio.fail_after(1.0):
+            assert (await stream.receive()).startswith(b"HTTP/1.1 100 ")
+            assert (await called(stream))[0] == 408
+
+
+async def test_what_is_out_by_hand_gets_nothing_and_comes_back_cold_and_in_use() -> None:
+    async with Bank(done, done) as bank:
+        for number in range(8):
+            await bank.ask(f"a{number}", "look")
+        first = bank.backends[0]
+        assert first.got
+        for _ in range(2):  # out twice, back once
+            assert await bank.call("POST", "/maintenance/enter", body("s0")) == (
+                200,
+                {"host": "s0", "maintenance": True},
+            )
+        await until(lambda: first.closed == first.opened)  # what stood idle went
+        count = len(first.got)
+        # Discovery lists it as running, and as started anew, all the while.
+        again = {**listed(0, first.port), "startedAtMs": 1}
+        bank.discovery.answer = lambda got: news(2, again) if "from=1&" in got.target else None
+        await bank.discovery.streams[-1].aclose()
+        await until(lambda: any("from=2&" in got.target for got in bank.discovery.got))
+        for number in range(8):
+            assert (await bank.ask(f"b{number}", "look")).target == "200"
+        assert len(first.got) == count
+        assert (await bank.call("POST", "/maintenance/exit", body("s0")))[0] == 200
+
+        async def used() -> None:
+            number = 0
+            while not any(got.target == "/look" for got in first.got[count:]):
+                number += 1
+                await bank.ask(f"c{number}", "look")
+                await anyio.sleep(0.01)
+
+        with anyio.fail_after(5.0):
+            await used()
+
+
+async def test_an_old_ejection_does_not_outlast_a_return_by_hand() -> None:
+    dead = True
+    async with Bank(lambda _: None if dead else reply(200)) as bank:
+        clients = [await bank.client() for _ in range(2)]
+        for number, client in enumerate(clients):
+            await client.send(f"a{number}", "pay", body=b"x")
+        await until(lambda: any("ejected s0: hung" in line for line, _ in bank.log.lines))
+        await bank.call("POST", "/maintenance/enter", body("s0"))
+        dead = False
+        await bank.call("POST", "/maintenance/exit", body("s0"))
+        await until(lambda: any("readmitted s0" in line for line, _ in bank.log.lines), 0.5)
+
+
+async def test_standby_sends_clients_away_and_active_takes_them_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Front, "AWAY", 0.4)
+    monkeypatch.setattr(Front, "QUIET_FIRST", 0.1)
+    async with Bank(lambda got: None if got.target == "/look" else reply(200)) as bank:
+        idle, used, busy = [await bank.client() for _ in range(3)]
+        assert (await idle.ask("a0", "pay", body=b"x")).headers.get("connection") is None
+        await busy.send("a1", "look", 800)
+        for _ in range(2):
+            assert await bank.call("POST", "/standby") == (200, {"standby": True})
+        assert (await used.ask("a2", "pay", body=b"x")).headers["connection"] == "close"
+        other = await bank.client()  # the door stays open
+        ready = await other.raw(READY)
+        assert (ready.target, ready.headers["connection"]) == ("503", "close")
+        late = await bank.ask("a3", "pay", body=b"x")
+        assert (late.target, late.headers["connection"]) == ("200", "close")
+        with pytest.raises(anyio.EndOfStream), anyio.fail_after(2.0):
+            await idle.stream.receive()
+        assert (await busy.answer()).headers["connection"] == "close"
+        assert (await bank.call("GET", "/status"))[1]["standby"] is True
+        for _ in range(2):
+            assert await bank.call("POST", "/active") == (200, {"standby": False})
+        back = await bank.client()
+        assert (await back.raw(READY)).target == "200"
+        assert (await back.ask("a4", "pay", body=b"x")).headers.get("connection") is None
+
+
+# The marks by themselves.
+
+
+def entry(id: str, state: State = State.RUNNING, started: float | None = None) -> Entry:
+    return Entry(id, state, "x", 0, 1.0, started, "")
+
+
+def answer(*entries: Entry, kind: ListKind = ListKind.WHOLE) -> ListAnswer:
+    return ListAnswer(1, kind, list(entries), {each.backend: ("127.0.0.1", 1) for each in entries})
+
+
+def test_marks_outlast_all_that_discovery_tells() -> None:
+    it = Maintenance({"a": Mark(True, 50.0)})
+    assert [each.state for each in it.lay(answer(entry("a"), entry("b")), 60.0).entries] == [
+        State.DRAINING, State.RUNNING,
+    ]  # fmt: skip
+    assert it.lay(answer(entry("b")), 61.0).entries == [entry("b")]  # it left the list while out
+    assert it.knows("a") and not it.knows("c")
+    [back] = it.lay(answer(entry("a", started=59.0), kind=ListKind.CHANGES), 62.0).entries
+    assert back.state is State.DRAINING
+    assert it.set({"a": Mark(False, 49.0)}) is None  # an older call
+    news = it.set({"a": Mark(False, 70.0)})
+    assert [(each.state, each.started_at) for each in news.entries] == [(State.RUNNING, 70.0)]
+    [later] = it.lay(answer(entry("a", started=80.0), kind=ListKind.CHANGES), 81.0).entries
+    assert later.started_at == 80.0
+    [older] = it.lay(answer(entry("a", started=59.0), kind=ListKind.CHANGES), 82.0).entries
+    assert older.started_at == 70.0
+    assert it.set({"b": Mark(False, 90.0)}) is None  # was never out
+    it.set({"b": Mark(True, 91.0)})
+    [gone] = it.lay(answer(entry("b", State.DRAINING), kind=ListKind.CHANGES), 92.0).entries
+    assert gone.state is State.DRAINING
+    assert it.set({"b": Mark(False, 93.0)}).entries[0].state is State.DRAINING  # by discovery's word
+
+
+def test_marks_are_written_whole_and_two_writers_lose_nothing(tmp_path: Path) -> None:
+    one, two = Marks(str(tmp_path), "n/1"), Marks(str(tmp_path), "n/1")
+    other = Marks(str(tmp_path), "n_1")
+    one.add({"a": Mark(True, 5.0)})
+    two.add({"b": Mark(True, 6.0), "a": Mark(False, 4.0)})
+    assert one.news() == {"a": Mark(True, 5.0), "b": Mark(True, 6.0)} and one.news() == {}
+    assert other.load() == {}
+    [path] = tmp_path.glob("*.maintenance")
+    whole = path.read_bytes()
+    for at in range(len(whole)):
+        path.write_bytes(whole[:at])
+        assert Marks(str(tmp_path), "n/1").load() == {}
+    path.write_bytes(whole.replace(b"1 ", b"2 ", 1))  # of another version
+    assert one.load() == {}
+    path.write_bytes(whole.replace(b"true", b"trve", 1))
+    assert one.load() == {}
+    Sheet(str(tmp_path), "n/1", "maintenance").write({"marks": [{"id": "a", "out": 3}, 4]})
+    assert one.load() == {}
+    assert not [each for each in tmp_path.iterdir() if each.suffix.isdigit()]
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -29,7 +29,7 @@
         lines = [listed(number, peer.port) for number, peer in enumerate(backends)]
         path = folder / "config.json"
         path.write_text(json.dumps(config(lines, discovery.port)))
-        environment = {**os.environ, "EDGE_CONFIG": str(path)}
+        environment = {**os.environ, "TMPDIR": str(path.parent), "EDGE_CONFIG": str(path)}
         process = await anyio.open_process(RUN, env=environment, stderr=subprocess.PIPE)
         try:
             text = b""
@@ -152,7 +152,7 @@
 
 def refused(path: Path) -> str:
     """Starts the program on a file that it is to refuse; the one line that it says."""
-    environment = {**os.environ, "EDGE_CONFIG": str(path)}
+    environment = {**os.environ, "TMPDIR": str(path.parent), "EDGE_CONFIG": str(path)}
     ended = subprocess.run(RUN, env=environment, capture_output=True, check=False)
     assert ended.returncode == 2 and ended.stderr.count(b"\n") == 1 and not ended.stdout
     return ended.stderr.decode()
@@ -170,6 +170,6 @@
     async with Bank() as bank:
         path = tmp_path / "config.json"
         path.write_text(json.dumps({**config([], 1), "listen": f"127.0.0.1:{bank.port}"}))
-        environment = {**os.environ, "EDGE_CONFIG": str(path)}
+        environment = {**os.environ, "TMPDIR": str(path.parent), "EDGE_CONFIG": str(path)}
         ended = await anyio.run_process(RUN, env=environment, check=False)
         assert ended.returncode == 1 and ended.stderr.count(b"\n") == 1
--- a/thornladder/__main__.py
+++ b/thornladder/__main__.py
@@ -24,7 +24,7 @@
         print("thornladder: EDGE_CONFIG names no file", file=sys.stderr)
         return 2
     try:
-        config = settings.load(path)
+        config = settings.load(path, os.environ)
         known = decode_list(config.known) if config.known else NO_LIST
     except Malformed as error:
         print(f"thornladder: {path}: {error}", file=sys.stderr)
--- /dev/null
+++ b/thornladder/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The second address: calls of operators, one to a connection."""
--- /dev/null
+++ b/thornladder/admin/calls.py
@@ -0,0 +1,130 @@
+"""Operators' calls to and from small typed values: no I/O, no effects."""
+
+from __future__ import annotations
+
+import json
+from enum import Enum
+from typing import Any, NamedTuple
+
+import h11
+
+from thornladder.fields import Malformed, parse, take
+
+MOST_HEAD = 8 * 1024  # bytes: an operator's call has a few short lines
+MOST_BODY = 4 * 1024  # bytes: one id
+MOST_ID = 256  # characters of an id
+
+
+class Name(Enum):
+    STATUS = "/status"
+    ENTER = "/maintenance/enter"
+    EXIT = "/maintenance/exit"
+    STANDBY = "/standby"
+    ACTIVE = "/active"
+
+
+_PATHS = {name.value: name for name in Name}
+
+
+class Call(NamedTuple):
+    name: Name
+    backend: str = ""  # for maintenance alone
+
+
+class Verdict(NamedTuple):
+    """What a caller is told."""
+
+    status: int
+    facts: dict[str, Any]
+
+    @property
+    def yes(self) -> bool:
+        return self.status == 200
+
+
+def no(status: int, why: str) -> Verdict:
+    return Verdict(status, {"error": why})
+
+
+class Reader:
+    """Takes in the bytes of one call, cut anywhere, until it is whole or known to be none."""
+
+    def __init__(self) -> None:
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
+        self.request: h11.Request | None = None
+        self.body = b""
+
+    @property
+    def begun(self) -> bool:
+        return self.request is not None or bool(self.http.trailing_data[0])
+
+    def take(self, data: bytes) -> Call | Verdict | None:
+        """The call, what is wrong with it, or None: more is needed. No bytes stand for the caller's end."""
+        try:
+            self.http.receive_data(data)
+            while True:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    return None
+                if isinstance(event, h11.Request):
+                    self.request = event
+                    if doubt := self._doubt(event):
+                        return doubt
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                    if len(self.body) > MOST_BODY:
+                        return no(413, "the body is too long")
+                elif isinstance(event, h11.EndOfMessage):
+                    return self._whole()
+                else:
+                    return no(400, "not a call")
+        except (h11.RemoteProtocolError, RuntimeError) as error:
+            return no(getattr(error, "error_status_hint", 400), "malformed")
+
+    def wants_more(self) -> bytes:
+        """What to say to a caller that waits to be asked for its body."""
+        if not self.http.they_are_waiting_for_100_continue:
+            return b""
+        return self.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
+
+    def _doubt(self, request: h11.Request) -> Verdict | None:
+        name = _PATHS.get(request.target.partition(b"?")[0].decode("latin-1"))
+        if name is None:
+            return no(404, "no such call")
+        wanted = (b"GET", b"HEAD") if name is Name.STATUS else (b"POST",)
+        if request.method not in wanted:
+            return no(405, f"{name.value} is {wanted[0].decode()}")
+        names = [each for each, _ in request.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            return no(400, "Content-Length and Transfer-Encoding")
+        length = dict(request.headers).get(b"content-length", b"0")
+        if len(length) > 9 or int(length) > MOST_BODY:
+            return no(413, "the body is too long")
+        return None
+
+    def _whole(self) -> Call | Verdict:
+        assert self.request is not None
+        name = _PATHS[self.request.target.partition(b"?")[0].decode("latin-1")]
+        if name not in (Name.ENTER, Name.EXIT):
+            return Call(name)
+        try:
+            backend = take(parse(self.body), "host", str)
+        except Malformed as error:
+            return no(400, str(error))
+        if not 0 < len(backend) <= MOST_ID:
+            return no(400, "host must be the id of a backend")
+        return Call(name, backend)
+
+    def encode(self, verdict: Verdict) -> bytes:
+        body = json.dumps(verdict.facts).encode() + b"\n"
+        allow = b"Allow: GET, HEAD, POST\r\n" if verdict.status == 405 else b""
+        head = b"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nConnection: close\r\n" % (
+            verdict.status, _REASONS.get(verdict.status, b"No")
+        )  # fmt: skip
+        head += b"%sContent-Length: %d\r\n\r\n" % (allow, len(body))
+        return head if self.request is not None and self.request.method == b"HEAD" else head + body
+
+
+_REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
+            408: b"Request Timeout", 413: b"Content Too Large", 500: b"Internal Server Error",
+            503: b"Service Unavailable"}  # fmt: skip
--- a/thornladder/clients/connection.py
+++ b/thornladder/clients/connection.py
@@ -27,7 +27,7 @@
 
 
 class Desk:
-    """What all connections share: who takes invocations, and whether the node is ready or leaving."""
+    """What all connections share: who takes invocations, and whether the node is ready or sends them away."""
 
     def __init__(
         self,
@@ -42,7 +42,12 @@
         self.taker, self.offerings, self.clock, self.held, self.log = taker, offerings, clock, held, log
         self.late = late  # whether this node reads what has come later than it should
         self.early = Early(offerings, decide)
-        self.leaving = False
+        self.leaving = self.standby = False
+
+    @property
+    def closing(self) -> bool:
+        """Whether clients are sent away: each answer is the last on its connection."""
+        return self.leaving or self.standby
 
 
 class ClientConnection:
@@ -157,9 +162,9 @@
                 self._turn_down(400, "more came than one invocation")
                 continue
             if self.waited and not asked and self.idle:
-                nack = self.desk.early.nack(data, self.waited, self.desk.leaving)
+                nack = self.desk.early.nack(data, self.waited, self.desk.closing)
                 if nack is not None:
-                    self.spoken, self.waited, self.closing = True, 0.0, self.desk.leaving
+                    self.spoken, self.waited, self.closing = True, 0.0, self.desk.closing
                     self._put(nack)
                     continue
             self.http.receive_data(data)
@@ -228,19 +233,19 @@
             return
         path = request.target.partition(b"?")[0]
         if path in (messages.READY_PATH, messages.LIVE_PATH):
-            leaving = self.desk.leaving and path == messages.READY_PATH
-            self._answer(*messages.encode_plain(503 if leaving else 200, "leaving" if leaving else "ready",
-                                                self.desk.leaving))  # fmt: skip
+            away = self.desk.closing and path == messages.READY_PATH
+            words = "ready" if not away else "leaving" if self.desk.leaving else "standby"
+            self._answer(*messages.encode_plain(503 if away else 200, words, self.desk.closing))
             return
         decoded = messages.decode_invocation(request, bytes(self.body), self.desk.offerings)
         if isinstance(decoded, BadInput):
-            self._answer(*messages.encode_plain(decoded.status, decoded.words, self.desk.leaving))
+            self._answer(*messages.encode_plain(decoded.status, decoded.words, self.desk.closing))
             return
         self.exchange = Exchange(*decoded, self._deliver, self.waited)
         self.waited = 0.0
         if not self.desk.taker.came(self.exchange):
             self.exchange = None
-            self._answer(*messages.encode_plain(400, "this X-Call-Id is in hand", self.desk.leaving))
+            self._answer(*messages.encode_plain(400, "this X-Call-Id is in hand", self.desk.closing))
 
     def _turn_down(self, status: int, words: str) -> None:
         """Ends the connection with an answer, since where the next message begins is not known."""
@@ -250,7 +255,7 @@
     def _deliver(self, answer: Answer) -> None:
         self.exchange = None
         try:
-            self._answer(*messages.encode_answer(answer, self.desk.leaving))
+            self._answer(*messages.encode_answer(answer, self.desk.closing))
         except Exception:
             # Guards against an answer that cannot be put into words: it still has to be one, and the last.
             self.desk.log.exception("an answer could not be put into words")
--- a/thornladder/clients/front.py
+++ b/thornladder/clients/front.py
@@ -24,6 +24,8 @@
     KEEP = 10.0  # seconds that an idle connection is kept; clients that ask now and then use it again
     LEAST_KEEP = 2.0  # seconds, once half of the connections are held: as soon as clients are ready for it
     AT_FIRST = 65536  # bytes: as many as are read in one go later
+    QUIET_FIRST = 0.6  # seconds of standby after which what has been idle for as long is closed …
+    AWAY = 2.0  # … and after which all that is idle is: clients in use have seen their last answers by then
     GREETED = 0.1  # seconds in which a client says something that connects to say it
 
     def __init__(self, desk: Desk, most: int, tasks: Tasks) -> None:
@@ -31,9 +33,12 @@
         self.connections: set[ClientConnection] = set()
         self.held = 0  # those, and the accepted ones that are not among them yet
         self.nearly = False  # out of connections to give
+        self.open = False  # whether connections are accepted
+        self.away_since = 0.0  # when standby began
 
     async def run(self, listener: socket.socket) -> None:
         """Accepts until the node leaves; then takes what the kernel has accepted, and closes the socket."""
+        self.open = True
         with anyio.CancelScope() as self.accepting:
             while True:
                 await self._accept(listener)
@@ -117,7 +122,7 @@
 
         What is at hand is answered by the longest cut-off; what has not come whole by then never was taken.
         """
-        self.desk.leaving = True
+        self.desk.leaving, self.open = True, False
         longest = max(offering.cut_off for offering in self.desk.offerings.values())
         with anyio.move_on_after(self.ACCEPT_FOR + longest):
             await anyio.sleep(self.ACCEPT_FOR)
@@ -128,9 +133,25 @@
                 await anyio.sleep(0.02)
         await anyio.sleep(self.SETTLE)
 
+    def stand_by(self, standby: bool) -> None:
+        """Sends clients away, or takes them back. The door stays open: readiness tells the front."""
+        self.desk.standby, self.away_since = standby, self.desk.clock()
+
+    def _send_away(self, now: float) -> None:
+        """Closes what nobody is using. What is used ends with its next answer, which says so.
+
+        Guards against closing on invocations under way: first what has been idle for long, then the rest.
+        """
+        since = now - self.away_since
+        for connection in list(self.connections):
+            if connection.idle and (since > self.AWAY or now - connection.since > self.QUIET_FIRST < since):
+                self._alone(connection, connection.close_idle)
+
     def sweep(self) -> None:
         """Closes what has long been silent; sooner when many connections are held."""
         now = self.desk.clock()
+        if self.desk.standby:
+            self._send_away(now)
         keep = self.LEAST_KEEP if self.held > 0.5 * self.most else self.KEEP
         for connection in list(self.connections):
             self._alone(connection, connection.look, now, keep)
--- a/thornladder/host.py
+++ b/thornladder/host.py
@@ -17,7 +17,8 @@
 from thornladder.backends.pushes import Pushes
 from thornladder.discovery.watch import Watch
 from thornladder.exchange import Exchange
-from thornladder.interface import ListKind, Outcome, Report
+from thornladder.interface import ListKind, Outcome, Report, State
+from thornladder.maintenance import Maintenance, Mark
 from thornladder.messages import Answer, Ending, ListAnswer
 from thornladder.tasks import Tasks
 
@@ -55,8 +56,12 @@
     AGAIN = 1.0  # seconds until a timer comes again whose event met an error: one interval of the module
     MOST_LAG = 0.25  # of the time left: more would cost answers in time for a hiccup that is over
 
-    def __init__(self, clock: Clock, tasks: Tasks, log: Any) -> None:
+    KNOWN_BY = 3.0  # seconds after which the list that it was started with has to do
+
+    def __init__(self, clock: Clock, tasks: Tasks, log: Any, maintenance: Maintenance | None = None) -> None:
         self.clock, self.tasks, self.logger = clock, tasks, log
+        self.maintenance = maintenance or Maintenance()
+        self.began, self.told = clock(), False  # told: discovery has answered since the start
         self.lag = Lag()
         self.exchanges: dict[str, Exchange] = {}
         self.pending: Counter[str] = Counter()  # timers by name
@@ -75,6 +80,8 @@
     ) -> None:
         self.pushes, self.watch = pushes, watch
         now = self.clock()
+        known = self.maintenance.lay(known, now)
+        self.probes = decisions["limits"].probes
         pushes.on_list(known)
         self.node = decide.Node(self, seed=seed, now=now, **decisions)
         self.node.on_list(now, ListKind.RESTORED, known.entries)
@@ -154,6 +161,27 @@
             self.logger.warning("a call for the list failed")
             self._tell(self.node.on_list, ListKind.UNAVAILABLE, [])
             return
+        self.told = True
+        self._tell_list(self.maintenance.lay(answer, self.clock()))
+
+    @property
+    def list_known(self) -> bool:
+        """Whether the list is fresh, or there is one and discovery has had its time."""
+        late = self.clock() - self.began > self.KNOWN_BY
+        return self.told or (late and bool(self.maintenance.entries))
+
+    def mark(self, marks: dict[str, Mark]) -> None:
+        """Takes backends out by hand or puts them back, whoever was asked to."""
+        news = self.maintenance.set(marks)
+        if news is None:
+            return
+        self._tell_list(news)
+        for entry in news.entries:
+            if entry.state is State.RUNNING and self.probes:
+                # What it was ejected for before was another process: its answer brings it back at once.
+                self.pushes.probe(entry.backend)
+
+    def _tell_list(self, answer: ListAnswer) -> None:
         # The module first: what drains is no longer picked, whatever becomes of its connections.
         self._tell(self.node.on_list, answer.kind, answer.entries)
         self.pushes.on_list(answer)
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -11,14 +11,18 @@
 from anyio.abc import TaskStatus
 
 from thornladder import settings
+from thornladder.admin.server import Admin
 from thornladder.backends.pool import Pool
 from thornladder.backends.pushes import Pushes
 from thornladder.clients.connection import Desk
 from thornladder.clients.front import Front
 from thornladder.discovery.watch import Watch
 from thornladder.fields import Malformed
+from thornladder.handover import Marks
 from thornladder.host import Clock, NodeHost
+from thornladder.maintenance import Maintenance
 from thornladder.messages import ListAnswer
+from thornladder.operations import Operations
 from thornladder.settings import Config
 from thornladder.streams import Held
 from thornladder.tasks import Tasks
@@ -32,13 +36,15 @@
 async def run(config: Config, known: ListAnswer, log: Any, path: str = "") -> None:
     """`path` names the file that the configuration came from, to be read again on SIGHUP."""
     clock = Clock()
-    listener = socket.create_server(config.listen, backlog=Front.BACKLOG)
-    listener.setblocking(False)
-    sockets = max(config.sockets - SPARE, 8)
+    listener = _listener(config.listen)
+    second = _listener(config.admin) if config.admin else None
+    kept = SPARE + (Admin.DESCRIPTORS if second else 0)
+    sockets = max(config.sockets - kept, 8)
+    marks = Marks(config.folder, config.name)
     clients = round(CLIENTS * sockets)
     async with anyio.create_task_group() as group:
         tasks = Tasks(group, log)
-        host = NodeHost(clock, tasks, log)
+        host = NodeHost(clock, tasks, log, Maintenance(marks.load()))
         transport = config.transport
         pool = Pool(sockets - clients, transport.idle_close, transport.connect_time_out, clock)
         held = Held(max(config.memory // LARGE_BODIES, 2**20))
@@ -48,15 +54,24 @@
         host.start(pushes, watch, known, config.seed, config.list_is_told, config.decisions)
         desk = Desk(host, host.node.offerings, clock, held, lambda: host.lag.late, host.turns_away, log)
         front = Front(desk, clients, tasks)
+        operations = Operations(host, front, marks.add, log)
         tasks.keep("a look at idle connections", _sweep, front, pushes)
         await group.start(_heed_signals, front, Reload(path, config, watch, log), tasks, log)
         tasks.keep("accepting", front.run, listener)
+        if second:
+            tasks.keep("taking operators' calls", Admin(operations, tasks, log).run, second)
         log.info(
             "serving", name=config.name, listen=list(listener.getsockname()), backends=len(known.entries),
-            cores=config.cores, sockets=config.sockets,
+            cores=config.cores, sockets=config.sockets, admin=list(second.getsockname()) if second else None,
         )  # fmt: skip
 
 
+def _listener(address: settings.Address) -> socket.socket:
+    listener = socket.create_server(address, backlog=Front.BACKLOG)
+    listener.setblocking(False)
+    return listener
+
+
 async def _sweep(front: Front, pushes: Pushes) -> None:
     while True:
         await anyio.sleep(SWEEP)
@@ -80,7 +95,7 @@
         self.watch.move(config.discovery)
         # The list, the seed and the name are for a start alone.
         told = replace(config, known=self.config.known, seed=self.config.seed, name=self.config.name)
-        names = {each.name for each in fields(Config)} - {"discovery"}
+        names = {each.name for each in fields(Config)} - {"discovery", "admin", "inherited", "folder"}
         later = sorted(name for name in names if getattr(told, name) != getattr(self.config, name))
         self.log.info("configuration read again", discovery=list(config.discovery), at_restart=later)
 
--- a/thornladder/settings.py
+++ b/thornladder/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tempfile
+from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -19,6 +21,7 @@
 MOST_ASKS = 3.0  # probes an invocation, however cheap: beyond a choice among three little is gained
 
 Address = tuple[str, int]
+NOTHING: Mapping[str, str] = {}
 
 
 def decisions(info: dict[str, Any]) -> dict[str, Any]:
@@ -169,17 +172,21 @@
     decisions: dict[str, Any]
     transport: Transport
     list_is_told: bool
+    admin: Address | None = None  # where operators call
+    folder: str = ""  # private, kept from one process of this node to the next, counts as memory
+    inherited: int | None = None  # the descriptor of a listening socket that this process was given
 
 
-def load(path: str) -> Config:
+def load(path: str, environment: Mapping[str, str] | None = None) -> Config:
     try:
         message = parse(Path(path).read_bytes())
     except OSError as error:
         raise Malformed(f"cannot be read: {error.strerror}") from None
-    return decode(message)
+    return decode(message, environment or {})
 
 
-def decode(message: dict[str, Any]) -> Config:
+def decode(message: dict[str, Any], environment: Mapping[str, str] = NOTHING) -> Config:
+    """What only this process is told, by its environment, goes before the file."""
     info = take(message, "settings", dict)
     limits, rules = take(info, "PolicyLimits", dict), take(info, "Rules", dict)
     given = take(message, "limits", dict, {})
@@ -204,9 +211,25 @@
             drain_grace=seconds(rules, "DrainGrace", 1.0),
         ),
         list_is_told=list_is_told(info),
+        admin=_admin(environment.get("EDGE_ADMIN_ADDR") or take(message, "admin_addr", str, "")),
+        folder=environment.get("TMPDIR") or tempfile.gettempdir(),
+        inherited=_inherited(environment.get("EDGE_INHERITED_FD", "")),
     )
 
 
+def _admin(text: str) -> Address | None:
+    try:
+        return address(text) if text else None
+    except Malformed as error:
+        raise Malformed(f"admin_addr: {error}") from None
+
+
+def _inherited(text: str) -> int | None:
+    if text and not (text.isdecimal() and len(text) <= 6):
+        raise Malformed(f"EDGE_INHERITED_FD: {text!r} is not a descriptor")
+    return int(text) if text else None
+
+
 def address(text: str) -> Address:
     host, colon, port = text.rpartition(":")
     if not (colon and host and port.isdecimal() and 0 <= int(port) < 65536):
