Upgrades at an inherited socket: two processes of a node share its limits and state

Ruled out: a slow start (it ended within 0.4 s). Change: handover.py (places, starts, marks), the door opens once the list is known, Front leaves a shared socket alone, on_settings.

--- a/thornladder/clients/front.py
+++ b/thornladder/clients/front.py
@@ -28,21 +28,26 @@
     AWAY = 2.0  # … and after which all that is idle is: clients in use have seen their last answers by then
     GREETED = 0.1  # seconds in which a client says something that connects to say it
 
-    def __init__(self, desk: Desk, most: int, tasks: Tasks) -> None:
-        self.desk, self.most, self.tasks = desk, most, tasks
+    def __init__(self, desk: Desk, most: int, tasks: Tasks, shared: bool = False) -> None:
+        """`shared`: the listening socket is others' too, so that nothing is done to it but accepting."""
+        self.desk, self.most, self.tasks, self.shared = desk, most, tasks, shared
         self.connections: set[ClientConnection] = set()
         self.held = 0  # those, and the accepted ones that are not among them yet
         self.nearly = False  # out of connections to give
         self.open = False  # whether connections are accepted
+        self.accepting: anyio.CancelScope | None = None  # before it is
         self.away_since = 0.0  # when standby began
 
     async def run(self, listener: socket.socket) -> None:
-        """Accepts until the node leaves; then takes what the kernel has accepted, and closes the socket."""
+        """Accepts until the node leaves; then takes what the kernel has accepted, and closes the socket.
+
+        What waits at a shared one is for the process that stays.
+        """
         self.open = True
         with anyio.CancelScope() as self.accepting:
             while True:
                 await self._accept(listener)
-        quiet = False
+        quiet = self.shared
         while not quiet:
             with anyio.move_on_after(self.QUIET) as waiting:
                 await self._accept(listener)
@@ -57,7 +62,7 @@
             await anyio.sleep(0.02)
             self._make_room()
         nearly = self.held > self.NEARLY * self.most
-        if nearly != self.nearly:
+        if nearly != self.nearly and not self.shared:
             # What the kernel has accepted counts as taken: none may wait there that there is no room for.
             self.nearly = nearly
             listener.listen(1 if nearly else self.BACKLOG)
@@ -125,8 +130,13 @@
         self.desk.leaving, self.open = True, False
         longest = max(offering.cut_off for offering in self.desk.offerings.values())
         with anyio.move_on_after(self.ACCEPT_FOR + longest):
-            await anyio.sleep(self.ACCEPT_FOR)
-            self.accepting.cancel()
+            if not self.shared:
+                await anyio.sleep(self.ACCEPT_FOR)
+            if self.accepting is not None:
+                self.accepting.cancel()
+            if self.shared:
+                # Guards against closing on what is under way on kept connections: first they are seen out.
+                await anyio.sleep(self.ACCEPT_FOR)
             await anyio.sleep(self.QUIET + self.SETTLE)
             while not all(connection.done for connection in self.connections):
                 self._close_idle(len(self.connections))
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -10,6 +10,7 @@
 from collections import defaultdict, deque
 from collections.abc import Callable
 from math import ceil, exp, floor, log
+from typing import Any
 
 from thornladder import interface as api
 from thornladder.interface import Entry, Host, Invocation, Kind, ListKind, Offering, Outcome, State, Tenant
@@ -99,8 +100,8 @@
 
     GRACE = 5.0  # seconds: late arrivals after a restart come with the first fresh list, after a call or two
 
-    def __init__(self, ramp: Ramp, now: float) -> None:
-        self.ramp, self.grace_until, self.baseline = ramp, now + self.GRACE, False
+    def __init__(self, now: float) -> None:
+        self.ramp, self.grace_until, self.baseline = Ramp(1.0, 1.0), now + self.GRACE, False
         self.known: dict[str, Backend] = {}
         self.usable: list[Backend] = []  # sorted by id
 
@@ -154,7 +155,7 @@
     SEEN = 4.0  # seconds in which each backend is met once on the mean: as long as Health remembers
     LEAST = 8  # backends, so that losing a few at once leaves a choice
 
-    def __init__(self, rank: int) -> None:
+    def __init__(self, rank: int = 0) -> None:
         self.rank, self.step = rank, 1
 
     def of(self, backends: list[Backend], rate: float, sound: Judge) -> list[Backend]:
@@ -165,12 +166,10 @@
         while self.step > 1 and len(backends) < 0.8 * self.step * wanted:
             self.step //= 2
         step = self.step
-        part = backends[self.rank % step :: step]
-        while step > 1 and sum(map(sound, part)) < 0.5 * self.LEAST:
+        while step > 1 and sum(map(sound, backends[self.rank % step :: step])) < 0.5 * self.LEAST:
             # Guards against a part of which most is lost at once: more of the fleet is used until it is back.
             step //= 2
-            part = backends[self.rank % step :: step]
-        return part
+        return backends[self.rank % step :: step]
 
 
 class Seat:
@@ -186,7 +185,7 @@
     CLEARLY = 0.75  # a choice yields only to a wait this much shorter; the rotation decides among near equals
     USUAL = 0.97  # of the weights in use a second ago are still remembered: half a minute, a trouble's length
 
-    def __init__(self, chance: Chance, bears: float) -> None:
+    def __init__(self, chance: Chance, bears: float = 1.0) -> None:
         self.chance, self.bears = chance, bears  # bears: the part of its capacity a cold backend may be sent
         self.usual = 0.0  # the weights that have lately carried the traffic
         self.surge = 0.0  # how many times its part of them a ramping seat's turns would bring; 1 is bearable
@@ -554,7 +553,16 @@
     SAVED = 5.0  # invocations that a tenant may save up: as many as come together by chance in a trickle
     LONGEST = 5.0  # seconds: the longest look back, well under what a surge lasts
 
-    def __init__(
+    def __init__(self) -> None:
+        self.came_of: defaultdict[str, float] = defaultdict(float)  # invocations, to each offering
+        self.shares: dict[str, tuple[float, float]] = {}  # what each tenant has left, and as of when
+        self.best, self.fair = 0.0, 0.0  # the most utility for a second of work lately; this node's backends
+        self.room = float("inf")  # how many pushes this node may have out; may be under one
+        self.arrivals, self.span = Fading(self.LONGEST), self.LONGEST
+        self.ends, self.lates = Fading(self.span), Fading(self.span)
+        self.mean_out = self.out_at = self.cut_at = self.ended_at = 0.0
+
+    def settle(
         self, tenants: list[Tenant], over_share: float, nodes: int, offerings: list[Offering], by_work: bool,
         uneven: bool, worst_offering: float,
     ) -> None:  # fmt: skip
@@ -564,13 +572,6 @@
         self.late, self.worst_offering = (self.SOON, worst_offering) if uneven else (self.LATE, 0.0)
         self.utilities = {offering.name: offering.utility for offering in offerings}
         self.top, self.least = max(self.utilities.values()) or 1.0, min(self.utilities.values())
-        self.came_of: defaultdict[str, float] = defaultdict(float)  # invocations, to each offering
-        self.shares: dict[str, tuple[float, float]] = {}  # what each tenant has left, and as of when
-        self.best, self.fair = 0.0, 0.0  # the most utility for a second of work lately; this node's backends
-        self.room = float("inf")  # how many pushes this node may have out; may be under one
-        self.arrivals, self.span = Fading(self.LONGEST), self.LONGEST
-        self.ends, self.lates = Fading(self.span), Fading(self.span)
-        self.mean_out = self.out_at = self.cut_at = self.ended_at = 0.0
 
     def sized(self, fair: float, now: float) -> None:
         """This node's part of the backends, its room with it; a trickle makes it look back further."""
@@ -611,7 +612,7 @@
         """Its utility; for the least also what the worst-served offering counts for by itself."""
         if not (self.worst_offering and self.came_of) or offering.utility > self.least:
             return offering.utility
-        whole = sum(came * self.utilities[name] for name, came in self.came_of.items())
+        whole = sum(came * self.utilities.get(name, 0.0) for name, came in self.came_of.items())
         alone = whole / max(self.came_of[offering.name], 1.0)
         return min(offering.utility + self.worst_offering * (alone - offering.utility), self.top)
 
@@ -668,7 +669,7 @@
     FALL = 1.0  # a second, when nothing is late: a stall that is over costs no more than some tenths of one
     SPAN = 0.03  # seconds at most that one sight counts for, as between two timers: a stall is no load
 
-    def __init__(self, aim: float) -> None:
+    def __init__(self, aim: float = 1.0) -> None:
         self.aim, self.pressure, self.at = self.AIM * aim, 0.0, 0.0
 
     def seen(self, late: float, now: float) -> None:
@@ -688,16 +689,11 @@
     RATIO = 0.2  # further pushes for each invocation; the field's usual figure
     BURST = 10.0  # what may be saved up: a dead backend's share of a second or so
 
-    def __init__(self, max_pushes: int, top: float) -> None:
-        self.max_pushes, self.top = max_pushes, top
-        self.budget = self.BURST
-
-    def came(self) -> None:
-        self.budget = min(self.budget + self.RATIO, self.BURST)
+    max_pushes, top, budget = 1, 1.0, BURST
 
     def allows(self, live: Live) -> bool:
         """The least utility gets one further push, the most all that the site permits."""
-        most = 2 + round((self.max_pushes - 2) * live.offering.utility / self.top)
+        most = 2 + round((self.max_pushes - 2) * min(live.offering.utility / self.top, 1.0))
         return len(live.pushes) < most and self.budget >= 1.0
 
 
@@ -729,35 +725,41 @@
     LAST_MOMENT = 0.005  # seconds; nothing can be answered in less
     FRESH = 0.05  # seconds: no new report is worth its price before
 
-    def __init__(
-        self, host: Host, *, seed: int, now: float, zone: str, rank: int, nodes: int,
-        offerings: list[Offering], tenants: list[Tenant], over_share_worth: float, utility_by_work: bool,
-        limits: api.Limits, cold: api.ColdRule, must_ask_in: float, worst_offering: float = 0.0,
-    ) -> None:  # fmt: skip
-        self.host, self.zone, self.nodes = host, zone, nodes
-        self.limits, self.cold, self.must_ask_in = limits, cold, must_ask_in or float("inf")
-        self.offerings = {offering.name: offering for offering in offerings}
-        self.chance = Chance(seed)
-        self.ramp = Ramp(cold.warm_up, cold.share)
-        self.roster, self.part = Roster(self.ramp, now), Part(rank)
-        self.rotation = Rotation(self.chance, 0.75 * cold.multiple)  # a half costs much in a release
-        self.health = Health(self.chance, host.log)
-        self.admission = Admission(
-            tenants, over_share_worth, nodes, offerings, utility_by_work, limits.asks > 0.0, worst_offering
-        )
-        self.retries = Retries(limits.max_pushes, self.admission.top)
-        self.core = Core(min(offering.target_time for offering in offerings))
+    def __init__(self, host: Host, *, seed: int, now: float, **settings: Any) -> None:
+        """`settings`: those of `on_settings`."""
+        self.host, self.chance = host, Chance(seed)
+        self.roster, self.part, self.rotation = Roster(now), Part(), Rotation(self.chance)
+        self.health, self.admission = Health(self.chance, host.log), Admission()
+        self.retries, self.core = Retries(), Core()
         self.live: dict[str, Live] = {}
+        self.on_settings(now, **settings)
         self.asks, self.began = 0.0, now  # asks: probes for reports that may be sent
         self.out = 0  # pushes that have not ended and are not past their target time
         host.set_timer(self.INTERVAL * self.chance.draw(), "interval")
         # blind_at: from then on this node is deemed told of what it has not heard.
         self.sweeping, self.watch_wait, self.blind_at = False, 0.0, float("inf")
-        if must_ask_in:
+        if self.must_ask_in < float("inf"):
             self._watch(now)
 
     # What can happen.
 
+    def on_settings(
+        self, now: float, *, zone: str, rank: int, nodes: int, offerings: list[Offering],
+        tenants: list[Tenant], over_share_worth: float, utility_by_work: bool, limits: api.Limits,
+        cold: api.ColdRule, must_ask_in: float, worst_offering: float = 0.0,
+    ) -> None:  # fmt: skip
+        """From now on these hold. What was learned stays; what is in hand keeps the offering it came with."""
+        self.zone, self.part.rank, self.nodes = zone, rank, nodes
+        self.limits, self.cold, self.must_ask_in = limits, cold, must_ask_in or float("inf")
+        self.offerings = {offering.name: offering for offering in offerings}
+        self.ramp = self.roster.ramp = Ramp(cold.warm_up, cold.share)
+        self.rotation.bears = 0.75 * cold.multiple  # a half costs much in a release
+        self.admission.settle(
+            tenants, over_share_worth, nodes, offerings, utility_by_work, limits.asks > 0.0, worst_offering
+        )
+        self.retries.max_pushes, self.retries.top = limits.max_pushes, self.admission.top
+        self.core.aim = Core.AIM * min(offering.target_time for offering in offerings)
+
     def on_list(self, now: float, kind: ListKind, entries: list[Entry]) -> None:
         if kind is ListKind.UNAVAILABLE:
             # Spread out, or all nodes call a struggling list service in step; always well before MustAskIn.
@@ -779,7 +781,7 @@
             return
         live = Live(inv, offering, self.health.cost(offering, now), now)
         self.live[inv.id] = live
-        self.retries.came()
+        self.retries.budget = min(self.retries.budget + Retries.RATIO, Retries.BURST)
         self.admission.came(live, now)
         backend = self._pick(live, now)
         if backend is not None:
@@ -1028,18 +1030,14 @@
                 view.trial = True
                 self.host.probe(seat.backend.id)
 
-    def _ask(self, backend: Backend, now: float) -> None:
-        self.health.view(backend).asked = now
-        self.host.probe(backend.id)
-
     def _ask_ahead(self, now: float) -> None:
         """Probe those whose turns come next and of which nothing fresh is known, as the price allows."""
         self.asks = min(self.asks + self.limits.asks, max(2.0 * self.limits.asks, 1.0))
         for seat in self.rotation.seats if self.asks >= 1.0 else ():
             view = self.health.view(seat.backend)
             if view.asked is None and not view.cause and now - view.told > self.FRESH and self.asks >= 1.0:
-                self.asks -= 1.0
-                self._ask(seat.backend, now)
+                self.asks, view.asked = self.asks - 1.0, now
+                self.host.probe(seat.backend.id)
 
     def _look_again(self, live: Live, now: float) -> None:
         """A push that takes long on a backend gone silent: a second copy, or the same push elsewhere."""
@@ -1056,7 +1054,8 @@
         if self.limits.asks and not view.cause:
             # Guards against moves off sound backends, whose work goes on: a probe that stays out tells.
             if view.asked is None:
-                self._ask(push.backend, now)
+                view.asked = now
+                self.host.probe(push.backend.id)
             if now - view.asked < Health.SILENT_PROBE:
                 return
         until = live.first.sent + offering.window - 4.0 * self.SWEEP
--- a/thornladder/handover.py
+++ b/thornladder/handover.py
@@ -9,6 +9,7 @@
 import zlib
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
+from enum import Enum
 from pathlib import Path
 from typing import Any
 
@@ -64,6 +65,85 @@
         return about.st_ino, about.st_mtime_ns
 
 
+class Phase(Enum):
+    """How far a process of this node is."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+class Places:
+    """Who is alive of this node's processes: each holds a lock on a file, which any death frees."""
+
+    MOST = 8  # processes at once; two are usual, three while one upgrade follows another
+
+    def __init__(self, folder: str, node: str) -> None:
+        self.paths = [Path(folder) / f"{_key(node)}.process-{number}" for number in range(self.MOST)]
+        self.own: tuple[int, int] | None = None  # the number of this process's place, and its descriptor
+
+    def take(self, phase: Phase) -> None:
+        """Tells the others how far this one is; the first time it takes a place that nobody holds."""
+        if self.own is None:
+            self.own = next(filter(None, map(self._lock, range(self.MOST))), None)
+        if self.own is not None:
+            os.pwrite(self.own[1], b"%-16s" % phase.value.encode(), 0)
+
+    def _lock(self, number: int) -> tuple[int, int] | None:
+        try:
+            descriptor = os.open(self.paths[number], os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        except OSError:
+            return None  # no folder to write to: this process is alone
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(descriptor)
+            return None
+        return number, descriptor
+
+    def others(self) -> list[Phase]:
+        return [phase for number in range(self.MOST) if (phase := self._phase(number)) is not None]
+
+    def _phase(self, number: int) -> Phase | None:
+        """Of the process that holds this place; None if nobody else does."""
+        if self.own is not None and number == self.own[0]:
+            return None
+        try:
+            descriptor = os.open(self.paths[number], os.O_RDONLY | os.O_CLOEXEC)
+        except OSError:
+            return None
+        try:
+            fcntl.flock(descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
+            return None
+        except OSError:
+            words = os.pread(descriptor, 16, 0).decode("ascii", "replace").strip()
+            # One that has its lock and has not said how far it is has only begun.
+            return next((phase for phase in Phase if phase.value == words), Phase.STARTING)
+        finally:
+            os.close(descriptor)
+
+
+class Starts:
+    """Since when each backend is ramped, for the process that takes over. What is old by then harms nothing:
+    the moments are of the one clock that all machines read."""
+
+    def __init__(self, folder: str, node: str) -> None:
+        self.sheet = Sheet(folder, node, "starts")
+        self.written: dict[str, float] | None = None
+
+    def load(self) -> dict[str, float]:
+        starts: dict[str, float] = {}
+        with suppress(Malformed):
+            for line in objects(self.sheet.read() or {}, "starts"):
+                starts[take(line, "id", str)] = take(line, "at", float)
+        return starts
+
+    def keep(self, starts: dict[str, float]) -> None:
+        if starts != self.written:
+            self.sheet.write({"starts": [{"id": id, "at": at} for id, at in sorted(starts.items())]})
+            self.written = starts
+
+
 class Marks:
     """Maintenance on the disk: each id's last call. Two processes may add to it; the later call holds."""
 
--- a/thornladder/host.py
+++ b/thornladder/host.py
@@ -9,6 +9,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 import anyio
@@ -170,6 +171,17 @@
         late = self.clock() - self.began > self.KNOWN_BY
         return self.told or (late and bool(self.maintenance.entries))
 
+    def settle(self, decisions: dict[str, Any], processes: int = 1) -> None:
+        """New settings for the module. Beside another process of this node it has half of the node's."""
+        self.probes = decisions["limits"].probes
+        self._tell(partial(self.node.on_settings, **{**decisions, "nodes": decisions["nodes"] * processes}))
+
+    @property
+    def starts(self) -> dict[str, float]:
+        """Since when the module ramps those backends that it still does."""
+        known = self.node.roster.known.items()
+        return {id: backend.ramp_start for id, backend in known if backend.ramp_start is not None}
+
     def mark(self, marks: dict[str, Mark]) -> None:
         """Takes backends out by hand or puts them back, whoever was asked to."""
         news = self.maintenance.set(marks)
--- a/thornladder/maintenance.py
+++ b/thornladder/maintenance.py
@@ -73,6 +73,14 @@
         }
         return ListAnswer(None, ListKind.CHANGES, entries, places)
 
+    def warm_from(self, starts: dict[str, float], now: float) -> None:
+        """Start times that another process of this node has seen, for ids whose own are older or not told."""
+        for id, at in starts.items():
+            # A moment that is yet to come is of another clock than this one.
+            mark = self.marks.get(id, Mark(False, 0.0))
+            if not mark.out and now - self.REMEMBER < at <= now:
+                self.marks[id] = Mark(False, max(at, mark.at))
+
     def _laid(self, entry: Entry) -> Entry:
         mark = self.marks.get(entry.backend)
         if mark is None or entry.state is not State.RUNNING:
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -18,7 +18,7 @@
 from thornladder.clients.front import Front
 from thornladder.discovery.watch import Watch
 from thornladder.fields import Malformed
-from thornladder.handover import Marks
+from thornladder.handover import Marks, Phase, Places, Starts
 from thornladder.host import Clock, NodeHost
 from thornladder.maintenance import Maintenance
 from thornladder.messages import ListAnswer
@@ -36,15 +36,19 @@
 async def run(config: Config, known: ListAnswer, log: Any, path: str = "") -> None:
     """`path` names the file that the configuration came from, to be read again on SIGHUP."""
     clock = Clock()
-    listener = _listener(config.listen)
+    if config.inherited is None:
+        listener = _listener(config.listen)
+    else:
+        listener = socket.socket(fileno=config.inherited)
+        listener.setblocking(False)
     second = _listener(config.admin) if config.admin else None
     kept = SPARE + (Admin.DESCRIPTORS if second else 0)
     sockets = max(config.sockets - kept, 8)
-    marks = Marks(config.folder, config.name)
     clients = round(CLIENTS * sockets)
     async with anyio.create_task_group() as group:
         tasks = Tasks(group, log)
-        host = NodeHost(clock, tasks, log, Maintenance(marks.load()))
+        handover = Handover(config, log)
+        host = NodeHost(clock, tasks, log, handover.begin(clock()))
         transport = config.transport
         pool = Pool(sockets - clients, transport.idle_close, transport.connect_time_out, clock)
         held = Held(max(config.memory // LARGE_BODIES, 2**20))
@@ -53,11 +57,13 @@
         watch = Watch(config.discovery, known.version, tasks, host.list_told, log)
         host.start(pushes, watch, known, config.seed, config.list_is_told, config.decisions)
         desk = Desk(host, host.node.offerings, clock, held, lambda: host.lag.late, host.turns_away, log)
-        front = Front(desk, clients, tasks)
-        operations = Operations(host, front, marks.add, log)
+        front = Front(desk, clients, tasks, config.inherited is not None)
+        operations = Operations(host, front, handover.marks.add, log)
         tasks.keep("a look at idle connections", _sweep, front, pushes)
-        await group.start(_heed_signals, front, Reload(path, config, watch, log), tasks, log)
-        tasks.keep("accepting", front.run, listener)
+        tasks.keep("the handover", handover.run, host, front, pool, held)
+        reload = Reload(path, config, watch, log)
+        await group.start(_heed_signals, front, reload, handover, tasks, log)
+        tasks.start("opening the door", _open, front, host, handover, tasks, listener)
         if second:
             tasks.keep("taking operators' calls", Admin(operations, tasks, log).run, second)
         log.info(
@@ -72,6 +78,68 @@
     return listener
 
 
+async def _open(
+    front: Front, host: NodeHost, handover: Handover, tasks: Tasks, listener: socket.socket
+) -> None:
+    """Beside a process that serves, clients are taken only once this one knows what that one does."""
+    while handover.beside and not host.list_known:
+        await anyio.sleep(0.02)
+    if front.desk.leaving:
+        return
+    handover.phase = Phase.SERVING
+    handover.look(host)
+    tasks.keep("accepting", front.run, listener)
+
+
+class Handover:
+    """What this process shares with others of its node: limits while they live, and what has to go on."""
+
+    LOOK = 0.2  # seconds between looks at the others and at what they wrote: a fifth of what a call may take
+
+    def __init__(self, config: Config, log: Any) -> None:
+        self.config, self.log = config, log
+        self.marks = Marks(config.folder, config.name)
+        self.starts = Starts(config.folder, config.name)
+        self.places = Places(config.folder, config.name)
+        self.phase = Phase.STARTING
+        self.beside: list[Phase] = []  # other processes of this node
+        self.serving = 1  # processes of it that take clients or have some, this one among them
+
+    def begin(self, now: float) -> Maintenance:
+        """Takes a place, and what stands written."""
+        self.places.take(self.phase)
+        self.beside = self.places.others()
+        maintenance = Maintenance(self.marks.load())
+        maintenance.warm_from(self.starts.load(), now)
+        return maintenance
+
+    async def run(self, host: NodeHost, front: Front, pool: Pool, held: Held) -> None:
+        most = front.most, pool.most, held.most
+        while True:
+            self.look(host)
+            # Descriptors and memory are one node's, whoever serves.
+            parts = 1 + len(self.beside)
+            front.most, pool.most, held.most = (max(each // parts, 4) for each in most)
+            await anyio.sleep(self.LOOK)
+
+    def look(self, host: NodeHost) -> None:
+        self.places.take(self.phase)
+        beside = self.places.others()
+        if beside != self.beside:
+            self.log.info("beside other processes", phases=[phase.value for phase in beside])
+        self.beside = beside
+        serving = 1 + sum(phase is not Phase.STARTING for phase in beside)
+        if serving != self.serving:
+            self.serving = serving
+            host.settle(self.config.decisions, serving)
+        host.mark(self.marks.news())
+        if self.phase is Phase.SERVING:
+            try:
+                self.starts.keep(host.starts)
+            except OSError as error:
+                self.log.warning("start times could not be written down", error=repr(error))
+
+
 async def _sweep(front: Front, pushes: Pushes) -> None:
     while True:
         await anyio.sleep(SWEEP)
@@ -101,7 +169,7 @@
 
 
 async def _heed_signals(
-    front: Front, reload: Reload, tasks: Tasks, log: Any, *, task_status: TaskStatus
+    front: Front, reload: Reload, handover: Handover, tasks: Tasks, log: Any, *, task_status: TaskStatus
 ) -> None:
     leaving = False
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -115,6 +183,7 @@
                     log.exception("reading the configuration again failed")
             elif not leaving:
                 leaving = True
+                handover.phase = Phase.LEAVING
                 log.info("leaving", signal=number.name)
                 tasks.start("leaving", _leave, front, tasks, log)
 
