New settings are taken at SIGHUP, whole or not at all

Cause: a reload took over where discovery is and nothing else, so offerings that appeared were answered 404 (listed as at_restart in the log). Change: on_settings through Handover (which knows how many processes share the node), Desk.retune, Pool.retune, drain grace; lacking() and figures above 0 in settings.py. Ruled out as needless: keeping old offerings beside the new, since each exchange and Live holds its own.

--- a/thornladder/backends/pool.py
+++ b/thornladder/backends/pool.py
@@ -16,12 +16,16 @@
     def __init__(
         self, most: int, idle_close: float, connect_time_out: float, clock: Callable[[], float]
     ) -> None:
-        self.most, self.connect_time_out, self.clock = most, connect_time_out, clock
-        self.keep = max(idle_close - self.MARGIN, 0.5 * idle_close)
+        self.most, self.clock = most, clock
+        self.retune(idle_close, connect_time_out)
         self.idle: defaultdict[str, list[Line]] = defaultdict(list)  # the last one used goes first
         self.held = 0  # connections, and attempts at one
         self.left: list[Line] = []  # to be closed
 
+    def retune(self, idle_close: float, connect_time_out: float) -> None:
+        self.connect_time_out = connect_time_out
+        self.keep = max(idle_close - self.MARGIN, 0.5 * idle_close)
+
     async def get(self, backend: str, address: Address) -> Line | Failure:
         """A connection on which nothing is out: an idle one that still stands, or a new one."""
         lines = self.idle[backend]
--- a/thornladder/clients/connection.py
+++ b/thornladder/clients/connection.py
@@ -39,11 +39,17 @@
         decide: Decide,
         log: Any,
     ) -> None:
-        self.taker, self.offerings, self.clock, self.held, self.log = taker, offerings, clock, held, log
+        self.taker, self.clock, self.held, self.log = taker, clock, held, log
         self.late = late  # whether this node reads what has come later than it should
-        self.early = Early(offerings, decide)
+        self.decide, self.longest = decide, 0.0  # the longest cut-off of anything that may be in hand
+        self.retune(offerings)
         self.leaving = self.standby = False
 
+    def retune(self, offerings: Mapping[str, Offering]) -> None:
+        """What comes from now on is of one of these; what is in hand is not touched."""
+        self.offerings, self.early = offerings, Early(offerings, self.decide)
+        self.longest = max(self.longest, *(offering.cut_off for offering in offerings.values()))
+
     @property
     def closing(self) -> bool:
         """Whether clients are sent away: each answer is the last on its connection."""
--- a/thornladder/clients/front.py
+++ b/thornladder/clients/front.py
@@ -128,8 +128,7 @@
         What is at hand is answered by the longest cut-off; what has not come whole by then never was taken.
         """
         self.desk.leaving, self.open = True, False
-        longest = max(offering.cut_off for offering in self.desk.offerings.values())
-        with anyio.move_on_after(self.ACCEPT_FOR + longest):
+        with anyio.move_on_after(self.ACCEPT_FOR + self.desk.longest):
             if not self.shared:
                 await anyio.sleep(self.ACCEPT_FOR)
             if self.accepting is not None:
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -5,7 +5,7 @@
 import signal
 import socket
 from dataclasses import fields, replace
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 from anyio.abc import TaskStatus
@@ -61,7 +61,7 @@
         operations = Operations(host, front, handover.marks.add, log)
         tasks.keep("a look at idle connections", _sweep, front, pushes)
         tasks.keep("the handover", handover.run, host, front, pool, held)
-        reload = Reload(path, config, watch, log)
+        reload = Reload(path, config, Parts(host, desk, pushes, watch, handover), log)
         await group.start(_heed_signals, front, reload, handover, tasks, log)
         tasks.start("opening the door", _open, front, host, handover, tasks, listener)
         if second:
@@ -97,7 +97,7 @@
     LOOK = 0.2  # seconds between looks at the others and at what they wrote: a fifth of what a call may take
 
     def __init__(self, config: Config, log: Any) -> None:
-        self.config, self.log = config, log
+        self.decisions, self.log = config.decisions, log
         self.marks = Marks(config.folder, config.name)
         self.starts = Starts(config.folder, config.name)
         self.places = Places(config.folder, config.name)
@@ -122,6 +122,10 @@
             front.most, pool.most, held.most = (max(each // parts, 4) for each in most)
             await anyio.sleep(self.LOOK)
 
+    def retune(self, decisions: dict[str, Any], host: NodeHost) -> None:
+        self.decisions = decisions
+        host.settle(decisions, self.serving)
+
     def look(self, host: NodeHost) -> None:
         self.places.take(self.phase)
         beside = self.places.others()
@@ -131,7 +135,7 @@
         serving = 1 + sum(phase is not Phase.STARTING for phase in beside)
         if serving != self.serving:
             self.serving = serving
-            host.settle(self.config.decisions, serving)
+            host.settle(self.decisions, serving)
         host.mark(self.marks.news())
         if self.phase is Phase.SERVING:
             try:
@@ -148,24 +152,48 @@
         await pushes.pool.sweep()
 
 
+class Parts(NamedTuple):
+    """What a new configuration concerns."""
+
+    host: NodeHost
+    desk: Desk
+    pushes: Pushes
+    watch: Watch
+    handover: Handover
+
+
 class Reload:
-    """Reads the configuration again. Where discovery is can change while the node runs, nothing else."""
+    """Reads the configuration again: where discovery is and the settings can change while the node runs."""
 
-    def __init__(self, path: str, config: Config, watch: Watch, log: Any) -> None:
-        self.path, self.config, self.watch, self.log = path, config, watch, log
+    def __init__(self, path: str, config: Config, parts: Parts, log: Any) -> None:
+        self.path, self.config, self.parts, self.log = path, config, parts, log
 
     def __call__(self) -> None:
         try:
             config = settings.load(self.path)
+            if name := settings.lacking(self.config.raw, config.raw):
+                raise Malformed(f"{name} is missing")
         except Malformed as error:
             self.log.warning("the new configuration is bad, the old one stays", error=str(error))
             return
-        self.watch.move(config.discovery)
+        if config.raw["settings"] != self.config.raw["settings"]:
+            self._retune(config)
+        self.parts.watch.move(config.discovery)
         # The list, the seed and the name are for a start alone.
         told = replace(config, known=self.config.known, seed=self.config.seed, name=self.config.name)
-        names = {each.name for each in fields(Config)} - {"discovery", "admin", "inherited", "folder"}
+        taken = {"discovery", "raw", "decisions", "transport", "admin", "inherited", "folder"}
+        names = {each.name for each in fields(Config)} - taken
         later = sorted(name for name in names if getattr(told, name) != getattr(self.config, name))
         self.log.info("configuration read again", discovery=list(config.discovery), at_restart=later)
+        self.config = replace(self.config, raw=config.raw)
+
+    def _retune(self, config: Config) -> None:
+        host, desk, pushes, _, handover = self.parts
+        handover.retune(config.decisions, host)
+        desk.retune(host.node.offerings)
+        pushes.grace = config.transport.drain_grace
+        pushes.pool.retune(config.transport.idle_close, config.transport.connect_time_out)
+        self.log.info("settings taken", offerings=sorted(host.node.offerings))
 
 
 async def _heed_signals(
--- a/thornladder/settings.py
+++ b/thornladder/settings.py
@@ -31,6 +31,9 @@
     offerings = objects(info, "Classes")
     if not offerings:
         raise Malformed("Classes must not be empty")
+    names = [take(line, "Name", str) for line in offerings]
+    if twice := next((name for name in names if names.count(name) > 1), None):
+        raise Malformed(f"Classes names {twice!r} twice")
     return {
         "zone": take(info, "Az", str, ""),
         "rank": take(info, "Rank", int, 0),
@@ -40,7 +43,7 @@
         "over_share_worth": take(info, "OverShareWorth", float, 1.0),
         "utility_by_work": take(info, "ValueBy", str, "request") == "work",
         "limits": api.Limits(
-            max_pushes=take(limits, "MaxAttempts", int),
+            max_pushes=_above_0("MaxAttempts", take(limits, "MaxAttempts", int)),
             second_copies=take(limits, "SecondCopies", bool, False),
             cancelling=take(limits, "Cancelling", bool, False),
             probes=take(limits, "Probes", bool, False),
@@ -52,8 +55,8 @@
         "cold": api.ColdRule(
             share=take(rules, "ColdShare", float),
             warm_up=seconds(rules, "WarmUp"),
-            multiple=take(rules, "FallMultiple", float),
-            span=seconds(rules, "Fall"),
+            multiple=_above_0("FallMultiple", take(rules, "FallMultiple", float)),
+            span=_above_0("Fall", seconds(rules, "Fall")),
         ),
         "worst_offering": _worst_offering(take(info, "Blend", dict, {})),
         "must_ask_in": 0.0 if list_is_told(info) else seconds(rules, "MustAskIn", 10.0),
@@ -127,14 +130,42 @@
     return info.get("Discovery") != "on_request"
 
 
+def _above_0(name: str, value: Any) -> Any:
+    if not value > 0:
+        raise Malformed(f"{name} must be above 0")
+    return value
+
+
+def lacking(held: Any, new: Any, path: str = "") -> str | None:
+    """The first key of the file in force that the new one lacks; marks may be left out where they are false.
+
+    Guards against a file cut short, or put together wrongly, whose gaps would be filled with defaults.
+    """
+    if isinstance(held, dict) and isinstance(new, dict):
+        for name, value in held.items():
+            if new.get(name) is None:
+                if value is None or isinstance(value, bool):
+                    continue
+                return f"{path}{name}"
+            if found := lacking(value, new[name], f"{path}{name}."):
+                return found
+    if isinstance(held, list) and isinstance(new, list):
+        known = {line.get("Name"): line for line in held if isinstance(line, dict)}
+        for line in new:
+            name = line.get("Name") if isinstance(line, dict) else None
+            if isinstance(name, str) and (found := lacking(known.get(name), line, f"{path}{name}.")):
+                return found
+    return None
+
+
 def _offering(line: dict[str, Any]) -> api.Offering:
     return api.Offering(
         name=take(line, "Name", str),
         kind=lookup(KINDS, line, "Effect"),
         group=take(line, "Group", str, "all"),
         window=seconds(line, "Window", 0.0),
-        target_time=seconds(line, "Aim"),
-        cut_off=seconds(line, "HardLimit"),
+        target_time=_above_0("Aim", seconds(line, "Aim")),
+        cut_off=_above_0("HardLimit", seconds(line, "HardLimit")),
         utility=take(line, "Worth", float),
         late_share=take(line, "LateWorth", float, 0.0),
     )
@@ -172,6 +203,7 @@
     decisions: dict[str, Any]
     transport: Transport
     list_is_told: bool
+    raw: dict[str, Any]  # the file as it came
     admin: Address | None = None  # where operators call
     folder: str = ""  # private, kept from one process of this node to the next, counts as memory
     inherited: int | None = None  # the descriptor of a listening socket that this process was given
@@ -211,6 +243,7 @@
             drain_grace=seconds(rules, "DrainGrace", 1.0),
         ),
         list_is_told=list_is_told(info),
+        raw=message,
         admin=_admin(environment.get("EDGE_ADMIN_ADDR") or take(message, "admin_addr", str, "")),
         folder=environment.get("TMPDIR") or tempfile.gettempdir(),
         inherited=_inherited(environment.get("EDGE_INHERITED_FD", "")),
