--- a/tests/harness.py
+++ b/tests/harness.py
@@ -389,6 +389,13 @@
         headers = {name.decode(): value.decode() for name, value in head.headers}
         return Got("", str(head.status_code), headers, body)
 
+    async def answer_to(self, id: str) -> Got:
+        """The answer to what was sent as bare bytes."""
+        self.wire = h11.Connection(h11.CLIENT)
+        self.wire.send(h11.Request(method="GET", target="/", headers=[("Host", "a"), ("X-Call-Id", id)]))
+        self.wire.send(h11.EndOfMessage())
+        return await self.answer()
+
     async def ask(self, *args: Any, **kwargs: Any) -> Got:
         await self.send(*args, **kwargs)
         return await self.answer()
--- a/thornladder/backends/pushes.py
+++ b/thornladder/backends/pushes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any, Protocol
 
@@ -103,14 +104,30 @@
     async def _push(self, exchange: Exchange, number: int, backend: str, time_out: float) -> None:
         sent = self.clock()
         # Nothing unforeseen keeps an end from being told: the invocation would be left without an answer.
-        outcome, answer = Outcome.BROKEN_OFF, None
+        outcome, answer, scope, begun = Outcome.BROKEN_OFF, None, exchange.scopes[number], False
+
+        def begin(reply: Reply) -> None:
+            """A large answer is its client's from its first bytes on: there the push has ended."""
+            nonlocal begun
+            begun, scope.deadline = True, math.inf
+            assert reply.flow is not None
+            reply.flow.given_by = scope
+            self.told.push_ended(exchange, number, Outcome.COMPLETED, sent, messages.completed(reply))
+            if exchange.answer is None or exchange.answer.flow is not reply.flow:
+                reply.flow.drop()  # nobody waits for it
+
         try:
-            result = await self._ask(backend, exchange.message, time_out, exchange.scopes[number])
+            left = exchange.given if exchange.coming else time_out
+            result = await self._ask(backend, exchange.message, left, scope, begin)
+            if begun:
+                return
             ended = outcome_of(result)
             answer = messages.completed(result) if ended is Outcome.COMPLETED else None
             outcome = ended
         except Exception:
             self.log.exception("a push failed")
+        if begun:
+            return
         try:
             self.told.push_ended(exchange, number, outcome, sent, answer)
         except Exception:
@@ -133,8 +150,9 @@
         self.told.probe_ended(backend, outcome, report)
 
     async def _ask(
-        self, backend: str, message: Message, time_left: float, scope: anyio.CancelScope
-    ) -> Reply | Failure:
+        self, backend: str, message: Message, time_left: float, scope: anyio.CancelScope,
+        begin: Callable[[Reply], None] | None = None,
+    ) -> Reply | Failure:  # fmt: skip
         """Asks once. The connection is closed before a time-out or a cancel is told of."""
         address = self.addresses.get(backend)
         if address is None:
@@ -150,7 +168,8 @@
                     result = Failure(Stage.CONNECTING, Cause.TOO_LATE)
                 else:
                     request = messages.encode_push(message, time_left, address[0])
-                    result = await line.ask(request, message.body, self.held.most, self.held)
+                    most = messages.MOST_BODY if begin is not None else messages.MOST_WHOLE
+                    result = await line.ask(request, message, most, begin, self.held)
         except Exception:
             # Nothing is foreseen here; it ends one push, which may have run, and not the node.
             self.log.exception("a push failed")
--- a/thornladder/clients/connection.py
+++ b/thornladder/clients/connection.py
@@ -13,8 +13,9 @@
 from thornladder import messages, streams
 from thornladder.clients.early import Decide, Early
 from thornladder.exchange import Exchange
+from thornladder.flow import COST, Flow, narrow
 from thornladder.interface import Offering
-from thornladder.messages import MOST_BODY, Answer, BadInput
+from thornladder.messages import MOST_BODY, MOST_WHOLE, Answer, BadInput
 from thornladder.streams import BROKEN, LARGE, Held, readable
 
 
@@ -23,6 +24,8 @@
 
     def came(self, exchange: Exchange) -> bool: ...
 
+    def whole(self, exchange: Exchange) -> None: ...
+
     def client_gone(self, exchange: Exchange) -> None: ...
 
 
@@ -59,8 +62,11 @@
 class ClientConnection:
     LINGER = 0.3  # seconds for the client to read its last answer and close
     DISCARDED = 256 * 1024  # bytes read after the last answer, so that no reset overtakes it; then no more
-    WHOLE = 2.0  # seconds for an invocation to come whole; its client has given up or never meant to send it
-    UNREAD = 5.0  # seconds for an answer to be taken; past the longest cut-off
+    WHOLE = (
+        2.6  # seconds for a head, and for a body to come beyond its pace: clients may take 2 s for a head …
+    )
+    PACE = 56_000.0  # bytes a second of a body at least; clients send 64 kB/s, and in pieces
+    UNREAD = 10.0  # seconds for a part of an answer to be taken; past the longest cut-off
 
     def __init__(self, stream: SocketStream, desk: Desk, first: bytes = b"", waited: float = 0.0) -> None:
         """`first`: what had come when it was accepted, and for how many seconds it had waited."""
@@ -69,6 +75,19 @@
         self.http = h11.Connection(h11.SERVER)
         self.request: h11.Request | None = None
         self.body = bytearray()
+        self.upload: Flow | None = None  # of the invocation that is coming, where that is large
+        self.discarding = False  # what is still to come of it, after its answer
+        self.coming: list[bytes] = []  # parts of it that were read and not given yet
+        self.got, self.waits, self.asked_at = (
+            0,
+            0.0,
+            0.0,
+        )  # bytes of its body; seconds that this node waited for it
+        self.download: Flow | None = None  # of the answer that is going out, where that is large
+        self.counted: Flow | None = None  # the upload that counts among what flows
+        self.passing = anyio.Lock()
+        self.upload_over = False  # its last byte has come
+        self.taking = True  # whether the client is awaited, and not the answer's next part
         self.exchange: Exchange | None = None
         self.outbox: deque[bytes] = deque()
         self.wake = anyio.Event()
@@ -82,13 +101,13 @@
     @property
     def idle(self) -> bool:
         """Whether nothing of an invocation has been read that is not answered."""
-        unread = self.first or self.http.trailing_data[0]
+        unread = self.first or self.http.trailing_data[0] or self.discarding or self.download
         return self.request is None and self.exchange is None and not self.outbox and not unread
 
     @property
     def done(self) -> bool:
         """Whether its last answer is out."""
-        return self.closing and not self.outbox
+        return self.closing and not self.outbox and self.download is None
 
     @property
     def silent(self) -> bool:
@@ -105,9 +124,11 @@
         except Exception:
             self.desk.log.exception("a client's connection failed")
         finally:
+            self._end_upload(False)
             if self.exchange is not None:
                 self.desk.taker.client_gone(self.exchange)
-            self.desk.held.give_back(sum(len(part) for part in self.outbox if len(part) > LARGE))
+            if self.download is not None:
+                self.download.drop()
             await streams.close(self.stream)
 
     def close_idle(self) -> None:
@@ -131,25 +152,40 @@
 
     def look(self, now: float, keep: float) -> None:
         """Ends what takes too long to come or to be read, and what has stood idle for more than `keep`."""
+        if self.upload is not None or self.discarding:
+            if self._slow(now):
+                # Guards against what trickles: only the time counts in which this node waited for it.
+                if self.exchange is None:
+                    self.scope.cancel()
+                else:
+                    self._give_up_upload(408, "it did not come whole")
+            return
         if self.exchange is not None:
             return
-        if self.outbox or self.closing:
-            if now - self.since > self.UNREAD:
+        if self.outbox or self.closing or self.download is not None:
+            if now - self.since > self.UNREAD and self.taking:
                 self.scope.cancel()
         elif self.idle:
             if now - self.since > (keep if self.spoken else self.WHOLE):
                 self.close_idle()
-        elif now - self.began > self.WHOLE:
+        elif now - self.began > self.WHOLE + len(self.body) / self.PACE:
             # Guards against bytes that trickle in for ever: the time counts from the first.
             self._turn_down(408, "it did not come whole")
 
+    def _slow(self, now: float) -> bool:
+        waits = self.waits + (now - self.asked_at if self.asked_at else 0.0)
+        return waits > self.WHOLE + self.got / self.PACE
+
     async def _read(self) -> None:
         discarded = 0
         while True:
             try:
+                self.asked_at = self.desk.clock()
                 data = self.first or await self.stream.receive()
             except BROKEN:
                 return
+            finally:
+                self.waits, self.asked_at = self.waits + self.desk.clock() - self.asked_at, 0.0
             asked, self.first = bool(self.first), b""  # the first was asked about when accepted
             if not asked and self.desk.late():
                 self.waited = streams.unread_for(streams.raw(self.stream))
@@ -160,8 +196,8 @@
                 continue
             self.since = self.desk.clock()
             if self.spoken and self.idle:
-                self.began = self.since
-            if self.exchange is not None:
+                self.began, self.waits = self.since, 0.0
+            if self.exchange is not None and self.upload is None:
                 # Clients send one invocation at a time: more than its length said makes all of it doubtful.
                 exchange, self.exchange = self.exchange, None
                 self.desk.taker.client_gone(exchange)
@@ -174,7 +210,48 @@
                     self._put(nack)
                     continue
             self.http.receive_data(data)
+            if self.download is not None and len(self.http.trailing_data[0]) > MOST_WHOLE:
+                return  # it sends on and on, and takes next to nothing
             self._advance()
+            await self._pass_in()
+
+    async def _pass_in(self) -> None:
+        """Gives what has come of a large body to whoever passes it on, before more is read."""
+        async with self.passing:
+            if self.upload is not None and self.counted is None:
+                flow = self.upload
+                await self.desk.held.take(COST, flow)
+                self.counted = flow
+                if self.upload is not flow:
+                    self._give_back()
+            while self.coming:
+                part = self.coming.pop(0)
+                if self.upload is not None:
+                    await self.upload.give(part)
+            if self.upload is not None and self.upload_over:
+                self._end_upload(True)
+                if self.exchange is not None:
+                    self.desk.taker.whole(self.exchange)
+
+    def _end_upload(self, whole: bool) -> None:
+        if self.upload is not None:
+            self.upload.end(whole)
+            self.upload = None
+            self.coming.clear()
+            self._give_back()
+
+    def _give_back(self) -> None:
+        if self.counted is not None:
+            self.desk.held.give_back(COST, self.counted)
+            self.counted = None
+
+    def _give_up_upload(self, status: int, words: str) -> None:
+        """Ends an invocation that does not come whole: nothing can have run."""
+        exchange, self.exchange = self.exchange, None
+        self._end_upload(False)
+        if exchange is not None:
+            self.desk.taker.client_gone(exchange)
+        self._turn_down(status, words)
 
     async def _write(self) -> None:
         try:
@@ -183,16 +260,17 @@
                 self.wake = anyio.Event()
                 while self.outbox:
                     await self.stream.send(self.outbox[0])
-                    sent = len(self.outbox.popleft())
-                    if sent > LARGE:
-                        self.desk.held.give_back(sent)
+                    self.outbox.popleft()
                     self.since = self.desk.clock()
+                if self.download is not None:
+                    await self._pass_out(self.download)
                 if self.ending:
                     self._end()
                 if self.closing and not self.outbox:
                     break
                 if self.exchange is None:
                     self._advance()
+                    await self._pass_in()
             # Guards against a reset that overtakes the answer: close after the client, or after a while.
             await self.stream.send_eof()
             await anyio.sleep(self.LINGER)
@@ -200,14 +278,39 @@
             pass
         self.scope.cancel()
 
+    async def _pass_out(self, flow: Flow) -> None:
+        """Passes a large answer on as it comes; one that breaks off ends the connection: its client sees."""
+        async for part in flow.parts():
+            data = self.http.send(h11.Data(data=part)) or b""
+            self.since, self.taking = self.desk.clock(), True
+            await self.stream.send(data)
+            self.since, self.taking = self.desk.clock(), False
+        if not flow.whole:
+            self.scope.cancel()
+            return
+        await self.stream.send(self.http.send(h11.EndOfMessage()) or b"")
+        self.download, self.taking = None, True
+        self._next()
+
+    def _next(self) -> None:
+        """Makes ready for the next invocation, if there can be one on this connection."""
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self.closing:
+            self.http.start_next_cycle()
+        else:
+            self.closing = True
+
     def _advance(self) -> None:
         """Goes through what has come until an invocation is whole or more is needed."""
-        while not self.closing:
+        while not self.closing and self.download is None:
             ahead = self.http.trailing_data[0] if self.request is None else b""
             try:
                 event = self.http.next_event()
             except h11.RemoteProtocolError as error:
-                self._turn_down(error.error_status_hint, "malformed")
+                if self.discarding:
+                    self.closing, self.discarding = True, False
+                    self.wake.set()
+                else:
+                    self._give_up_upload(error.error_status_hint, "malformed")
                 return
             if event is h11.NEED_DATA:
                 if self.http.they_are_waiting_for_100_continue:
@@ -216,19 +319,57 @@
             if isinstance(event, h11.Request):
                 self.request = event
                 self.body.clear()
+                self.got = 0
                 head = ahead[: len(ahead) - len(self.http.trailing_data[0])]
                 if doubt := messages.doubtful(event, head):
                     self._turn_down(doubt.status, doubt.words)
+                elif int(dict(event.headers).get(b"content-length", b"0")) > MOST_WHOLE:
+                    self._flows()
             elif isinstance(event, h11.Data):
-                self.body += event.data
-                if len(self.body) > MOST_BODY:
-                    self._turn_down(413, "the body is too long")
+                self._take(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                self._whole()
+                if self.discarding:
+                    self.discarding = False
+                    self._next()
+                    self.wake.set()
+                elif self.upload is not None:
+                    self.upload_over = True
+                else:
+                    self._whole()
                 return
             else:
                 return
 
+    def _take(self, data: bytes) -> None:
+        """A part of a body."""
+        self.got += len(data)
+        if self.got > MOST_BODY:
+            self._give_up_upload(413, "the body is too long")
+        elif self.upload is not None:
+            self.coming.append(bytes(data))
+        elif not self.discarding:
+            self.body += data
+            if len(self.body) > MOST_WHOLE:
+                self._flows()
+
+    def _flows(self) -> None:
+        """It is large: it is decided at what has come of it, and the rest is passed on as it comes."""
+        request, self.spoken = self.request, True
+        assert request is not None
+        flow = Flow()
+        decoded = messages.decode_invocation(request, bytes(self.body), self.desk.offerings, flow)
+        if isinstance(decoded, BadInput):
+            self._turn_down(decoded.status, decoded.words)
+            return
+        narrow(self.stream)
+        self.upload, self.upload_over = flow, False
+        self.body.clear()
+        self.exchange = Exchange(*decoded, self._deliver, self.waited)
+        self.waited = 0.0
+        if not self.desk.taker.came(self.exchange):
+            self.exchange = None
+            self._give_up_upload(400, "this X-Call-Id is in hand")
+
     def _whole(self) -> None:
         request = self.request
         assert request is not None
@@ -261,35 +402,40 @@
     def _deliver(self, answer: Answer) -> None:
         self.exchange = None
         try:
-            self._answer(*messages.encode_answer(answer, self.desk.closing))
+            self._answer(*messages.encode_answer(answer, self.desk.closing), answer.flow)
         except Exception:
             # Guards against an answer that cannot be put into words: it still has to be one, and the last.
             self.desk.log.exception("an answer could not be put into words")
-            self.request, self.closing = None, True
+            self.request, self.closing, self.discarding = None, True, False
             try:
                 self._put(messages.LAST_RESORT)
             except Exception:
                 self.scope.cancel()  # the client sees an end, if no answer
 
-    def _answer(self, response: h11.Response, body: bytes) -> None:
+    def _answer(self, response: h11.Response, body: bytes, flow: Flow | None = None) -> None:
         """Encodes an answer for the writing task; the connection is ready for the next invocation."""
         head_only = self.request is not None and self.request.method == b"HEAD"
         self.request = None
         self.body.clear()
+        if self.upload is not None:
+            # Guards against an end that overtakes the answer while its client still sends: the rest is read.
+            self.upload.drop()
+            asked_for = not self.http.they_are_waiting_for_100_continue
+            self.discarding = not self.upload_over and not self.closing and asked_for
+            self._end_upload(False)
         data = self.http.send(response) or b""
         if body and not head_only:
-            self.http.send_with_data_passthrough(h11.Data(data=body))  # its length is told: it goes as it is
-            if len(body) <= LARGE:
-                data += body
+            data += self.http.send(h11.Data(data=body)) or b""
+        if flow is not None:
+            self.download = flow
+            narrow(self.stream)
+            self.outbox.append(data)
+            self.wake.set()
+            return
         self.http.send(h11.EndOfMessage())
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE and not self.closing:
-            self.http.start_next_cycle()
-        else:
-            self.closing = True
+        if not self.discarding:
+            self._next()
         self._put(data)
-        if len(body) > LARGE and not head_only:
-            self.desk.held.add(len(body))
-            self._put(body)
 
     def _put(self, data: bytes) -> None:
         """Sends it: small ones at once, others and those behind them by the writing task."""
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -2,15 +2,13 @@
 
 A host creates one `Node` for each balancer node and hands it a `Host` (see interface.py). It tells the node
 through the `on_…` methods what happened and when, in seconds; the node acts by calling the host at once. The
-same events with the same seed lead to the same calls. `may_push` and `may_nack` are the only gates to both.
-"""
+same events with the same seed lead to the same calls. `may_push` and `may_nack` are the only gates."""
 
 from __future__ import annotations
 
 from collections import defaultdict, deque
 from collections.abc import Callable
 from math import ceil, exp, floor, log
-from typing import Any
 
 from thornladder import interface as api
 from thornladder.interface import Entry, Host, Invocation, Kind, ListKind, Offering, Outcome, State, Tenant
@@ -193,8 +191,7 @@
         self.seats: list[Seat] = []
 
     def rebuild(self, backends: list[Backend], ratio: Callable[[Backend], float], part: float = 1.0) -> None:
-        """Rescale the weights, largest 100; mature seats start anew, ramping ones keep what is unspent:
-        one that started over each time would never come to its turn under a trickle."""
+        """Rescale the weights, largest 100. Ramping seats wait on, or a trickle would never reach them."""
         before = {seat.backend.id: seat for seat in self.seats}
         given = [100.0 if backend.weight is None else max(backend.weight, 0.0) for backend in backends]
         largest = max(given, default=0.0) or 1.0
@@ -216,8 +213,7 @@
         self.surge = self.usual * part / self.total / self.bears
 
     def pick(self, allowed: Judge, wait: Callable[[Backend], float], spare: Judge) -> Backend | None:
-        """The next seat in turn, or one of those after it where less is in flight; spends the turn taken.
-        A ramping seat takes one only in its own turn, or where nobody else may and it may out of turn."""
+        """The next seat in turn, or one after it with less in flight; ramping ones in turn, or as a spare."""
         self.clock += 1.0 / self.total
         choice, best, spares = None, 0.0, []
         self.seats.sort(key=lambda seat: seat.turn)
@@ -288,6 +284,10 @@
         self.others, self.told = 0.0, -float("inf")  # what other nodes had out there, as of the last report
         self.failing, self.asked = "", None  # why its last report has it ejected; since when a probe is out
 
+    def put(self, live: Live, push: Push) -> None:
+        self.open[live.inv.id, live.pushes.index(push)] = push
+        self.work += push.cost
+
     def silent(self, now: float) -> float:
         """For how long pushes have waited without any sign of life."""
         first = next((push for push in self.open.values() if not push.overtaken), None)
@@ -353,9 +353,7 @@
         return (mean.sum.read(now) + guess) / (mean.count.read(now) + 1.0)
 
     def slowness(self, backend: Backend, cost: float, now: float) -> float:
-        """How many times longer than expected a backend's answers have lately taken.
-
-        Where little has come from it, its whole zone counts: a trickle meets a crowd before each backend."""
+        """How many times longer than expected its answers have lately taken; its zone's, where few came."""
         if (now, cost) != self.priors_of:
             self.priors_of = now, cost
             self.priors.clear()
@@ -427,8 +425,8 @@
     def ended(self, key: tuple[str, int], push: Push, offering: Offering, now: float) -> str:
         """Take in an outcome; returns the cause that the backend was out for if this brings it back."""
         view = self.view(push.backend)
-        del view.open[key]
-        view.work = view.work - push.cost if view.open else 0.0
+        under_way = view.open.pop(key, None) is not None
+        view.work = view.work - push.cost * under_way if view.open else 0.0
         took, outcome = now - push.sent, push.outcome
         trial = view.cause != "" and push.sent >= view.until
         if trial:
@@ -436,6 +434,8 @@
             if outcome not in (Outcome.COMPLETED, Outcome.NOT_SENT):
                 # Guards against one trial after the other: whatever went wrong, the sentence starts anew.
                 self._eject(push.backend, view, view.cause, now)
+        if not under_way:
+            return ""  # it ended while its body was on its way: what that took is its client's doing
         if outcome in (Outcome.COMPLETED, Outcome.ERRED, Outcome.FULL):
             view.answered = now
         if outcome is Outcome.COMPLETED:
@@ -564,12 +564,12 @@
 
     def settle(
         self, tenants: list[Tenant], over_share: float, nodes: int, offerings: list[Offering], by_work: bool,
-        uneven: bool, worst_offering: float,
+        limits: api.Limits, worst_offering: float,
     ) -> None:  # fmt: skip
         self.rates = {tenant.name: tenant.allowance / nodes for tenant in tenants}
-        self.over_share, self.by_work, self.uneven = over_share, by_work, uneven
-        self.first, self.most = (self.EVENED, self.EVENED) if uneven else (self.FIRST_ROOM, self.MOST_ROOM)
-        self.late, self.worst_offering = (self.SOON, worst_offering) if uneven else (self.LATE, 0.0)
+        self.over_share, self.by_work, self.uneven = over_share, by_work, limits.asks > 0.0
+        self.first, self.most = (self.EVENED,) * 2 if self.uneven else (self.FIRST_ROOM, self.MOST_ROOM)
+        self.late, self.worst_offering = (self.SOON, worst_offering) if self.uneven else (self.LATE, 0.0)
         self.utilities = {offering.name: offering.utility for offering in offerings}
         self.top, self.least = max(self.utilities.values()) or 1.0, min(self.utilities.values())
 
@@ -586,8 +586,7 @@
         return self.arrivals.read(now) / self.LONGEST
 
     def level(self, out: int, now: float) -> float:
-        """How many pushes were out on the mean of the span; `out` of them since the last call.
-        Guards against nacks in a calm fleet: whole pushes say nothing where a node's part is under one."""
+        """Pushes out on the mean of the span: `out` alone would nack where a node's part is under one."""
         self.mean_out += (out - self.mean_out) * (1.0 - exp((self.out_at - now) / self.span))
         self.out_at = now
         return self.mean_out
@@ -644,9 +643,8 @@
         return self.lates.read(now) > self.CROWDED * (self.ends.read(now) + 1.0)
 
     def ended(self, late: bool, out: int, now: float) -> None:
-        """Learn from a push's end how many pushes this node may have out: more while answers are in time.
-        Guards against the jam in which clients leave before their answers and backends work for nobody: its
-        queue belongs to all nodes and shows to each by late answers alone. `out` counts the one that ends."""
+        """Learn from a push's end how many this node may have out; that one still counts in `out`. Guards
+        against the jam in which clients leave before their answers: all nodes' queue, seen as late ones."""
         self.ends.add(1.0, now)
         self.lates.add(1.0 if late else 0.0, now)
         share = self.lates.read(now) / (self.ends.read(now) + 1.0)
@@ -661,8 +659,7 @@
 class Core:
     """What part of the invocations to turn away unread, so that a node short of its core answers in time.
 
-    Guards against a node that reads all that comes, each too late: its clients leave and come anew. Acts only
-    where its host tells of lateness; an integral control: what fits the core is not known beforehand."""
+    Guards against a node that reads all, each too late. An integral control: what fits is not known."""
 
     AIM = 0.25  # of the shortest target time may pass before what came is read: enough to see, little to lose
     RISE = 2.0  # a second, at twice the aim and more: a surge is met within a few tenths of a second
@@ -692,9 +689,9 @@
     max_pushes, top, budget = 1, 1.0, BURST
 
     def allows(self, live: Live) -> bool:
-        """The least utility gets one further push, the most all that the site permits."""
+        """The least utility gets one further push, the most all that is permitted, one that flows none."""
         most = 2 + round((self.max_pushes - 2) * min(live.offering.utility / self.top, 1.0))
-        return len(live.pushes) < most and self.budget >= 1.0
+        return not live.inv.flows and len(live.pushes) < most and self.budget >= 1.0
 
 
 class Live:
@@ -708,8 +705,7 @@
         # when this push turns out never to have run while a copy sent beside it may have (incident i8af787).
         self.first: Push | None = None
         self.open, self.look_at = 0, now
-        self.answered = self.over_share = False
-        self.moving = False  # cancelled in order to be pushed elsewhere
+        self.answered = self.over_share = self.moving = False  # moving: cancelled to be pushed elsewhere
 
     @property
     def may_have_run(self) -> bool:
@@ -725,8 +721,7 @@
     LAST_MOMENT = 0.005  # seconds; nothing can be answered in less
     FRESH = 0.05  # seconds: no new report is worth its price before
 
-    def __init__(self, host: Host, *, seed: int, now: float, **settings: Any) -> None:
-        """`settings`: those of `on_settings`."""
+    def __init__(self, host: Host, *, seed: int, now: float, **settings: object) -> None:  # of on_settings
         self.host, self.chance = host, Chance(seed)
         self.roster, self.part, self.rotation = Roster(now), Part(), Rotation(self.chance)
         self.health, self.admission = Health(self.chance, host.log), Admission()
@@ -755,8 +750,7 @@
         self.ramp = self.roster.ramp = Ramp(cold.warm_up, cold.share)
         self.rotation.bears = 0.75 * cold.multiple  # a half costs much in a release
         self.admission.settle(
-            tenants, over_share_worth, nodes, offerings, utility_by_work, limits.asks > 0.0, worst_offering
-        )
+            tenants, over_share_worth, nodes, offerings, utility_by_work, limits, worst_offering)  # fmt: skip
         self.retries.max_pushes, self.retries.top = limits.max_pushes, self.admission.top
         self.core.aim = Core.AIM * min(offering.target_time for offering in offerings)
 
@@ -793,6 +787,14 @@
         self._push(live, self._trial(live, now) or backend, now)
         self._ask_ahead(now)
 
+    def on_whole(self, now: float, id: str, time_left: float) -> None:
+        """The last byte of one that flows has come: its time begins, and its push is under way."""
+        live = self.live.get(id)
+        if live is not None and live.open:
+            live.cut_off, push = now + time_left, live.pushes[-1]
+            push.sent = now
+            self.health.view(push.backend).put(live, push)
+
     def on_late(self, now: float, late: float) -> None:
         """The host came to something so many seconds too late."""
         self.core.seen(late, now)
@@ -876,7 +878,8 @@
         # What has drained since a node went blind is not known to it, and deemed told.
         if live.answered or not backend.usable or now >= min(live.cut_off - self.LAST_MOMENT, self.blind_at):
             return False
-        if len(live.pushes) >= self.limits.max_pushes or (live.open and not self.limits.second_copies):
+        most = 1 if live.inv.flows else self.limits.max_pushes  # what was let go is not there any more
+        if len(live.pushes) >= most or (live.open and not self.limits.second_copies):
             return False
         if live.offering.kind is not Kind.REPEATABLE and live.may_have_run:
             group, until = live.offering.group, live.first.sent + live.offering.window - self.LAST_MOMENT
@@ -935,8 +938,8 @@
         live.moving = False
         # Twice what it should take and a tenth of a second: by then most answers are in.
         live.look_at = now + 2.0 * self.health.wait(backend, live.cost, now) + 0.1
-        view.open[live.inv.id, len(live.pushes) - 1] = push
-        view.work += push.cost
+        if not live.inv.flows:
+            view.put(live, push)
         if backend.ramp_start is not None:
             view.cold.append((now, live.cost))
         if view.cause:
@@ -1086,8 +1089,7 @@
     def _fair(self, rate: float, now: float) -> float:
         """How many of the backends are this node's: an even part, or one by its traffic where reports come.
 
-        Guards against nodes of busy clients that nack while the fleet has room: only a front deals evenly. By
-        what comes, since a part by what is let out holds itself small; all parts add up. 0: not known yet."""
+        Guards against nodes that nack while the fleet has room; by what comes, all add up. 0: not yet."""
         even, usual = len(self.roster.usable) / self.nodes, self.health.usual.read(now)
         if not (self.limits.asks and usual and now > self.began):
             return 0.0 if self.limits.asks else even
--- a/thornladder/exchange.py
+++ b/thornladder/exchange.py
@@ -13,7 +13,9 @@
 class Exchange:
     """What came in, the pushes made for it, and its one final answer."""
 
-    __slots__ = ("invocation", "message", "answer", "gone", "scopes", "out", "waited", "_deliver")
+    __slots__ = (
+        "invocation", "message", "answer", "gone", "scopes", "out", "waited", "given", "coming", "_deliver",
+    )  # fmt: skip
 
     def __init__(
         self,
@@ -27,6 +29,8 @@
         self.gone = False  # the client left before its answer
         self.scopes: list[anyio.CancelScope] = []  # of the pushes, by number
         self.waited = waited  # seconds that it lay unread
+        self.given = invocation.time_left  # seconds, from its last byte on
+        self.coming = False  # its body is still on its way
         self.out = 0  # pushes that have not ended
         self._deliver = deliver
 
@@ -40,6 +44,10 @@
             self.answer = answer
             self._deliver(answer)
 
+    @property
+    def flows(self) -> bool:
+        return self.message.flow is not None
+
     def open_push(self) -> tuple[int, anyio.CancelScope]:
         scope = anyio.CancelScope()
         self.scopes.append(scope)
--- a/thornladder/host.py
+++ b/thornladder/host.py
@@ -57,6 +57,7 @@
     AGAIN = 1.0  # seconds until a timer comes again whose event met an error: one interval of the module
     MOST_LAG = 0.25  # of the time left: more would cost answers in time for a hiccup that is over
 
+    COMING = 900.0  # seconds: longer than any body takes that keeps its pace; the clients' side ends others
     KNOWN_BY = 3.0  # seconds after which the list that it was started with has to do
 
     def __init__(self, clock: Clock, tasks: Tasks, log: Any, maintenance: Maintenance | None = None) -> None:
@@ -125,7 +126,10 @@
         self.exchanges[exchange.invocation.id] = exchange
         # Guards against answers past the cut-off when the processor is short: what came has waited unread,
         # and will wait on its way out for as long as this node is late.
-        given = exchange.invocation.time_left
+        given = exchange.given = exchange.invocation.time_left
+        if exchange.flows:
+            exchange.coming = True
+            given += self.COMING
         left = max(given - self.WAY_BACK - exchange.waited - min(self.lag.worst, self.MOST_LAG * given), 0.0)
         self._tell_of(exchange, self.node.on_invocation, exchange.invocation._replace(time_left=left))
         return True
@@ -138,10 +142,23 @@
             self.logger.exception("a decision failed", event_name="turns_away")
             return None
 
+    def whole(self, exchange: Exchange) -> None:
+        """The last byte of a large invocation has come; from here on its client's time counts."""
+        if exchange.over:
+            return
+        exchange.coming = False
+        left = max(exchange.given - self.WAY_BACK - min(self.lag.worst, self.MOST_LAG * exchange.given), 0.0)
+        for scope in exchange.scopes:
+            scope.deadline = anyio.current_time() + left
+        self._tell_of(exchange, self.node.on_whole, exchange.invocation.id, left)
+
     def client_gone(self, exchange: Exchange) -> None:
         if exchange.over:
             return
         exchange.gone = True
+        if exchange.coming:
+            for scope in exchange.scopes:
+                scope.cancel()  # nothing more comes to pass on, whatever may be cancelled otherwise
         self._tell_of(exchange, self.node.on_client_gone, exchange.invocation.id)
 
     def push_ended(
--- a/thornladder/interface.py
+++ b/thornladder/interface.py
@@ -130,6 +130,7 @@
     time_left: float
     key: int | None
     again: bool  # the client says that it tries once more
+    flows: bool = False  # its body is still on its way, and is passed on as it comes: it can be pushed once
 
 
 class Host(Protocol):
--- a/thornladder/messages.py
+++ b/thornladder/messages.py
@@ -12,9 +12,11 @@
 
 from thornladder import interface as api
 from thornladder.fields import Malformed, lookup, objects, optional, parse, take
+from thornladder.flow import Flow
 from thornladder.settings import Address, address, report
 
-MOST_BODY = 64 * 1024
+MOST_WHOLE = 64 * 1024  # bytes: bodies up to here are kept whole, larger ones flow through
+MOST_BODY = 33 * 1024 * 1024  # bytes: 32 MB, and what anybody may mean by that
 Headers = list[tuple[bytes, bytes]]
 
 READY_PATH, LIVE_PATH, LOAD_PATH = b"/health/ready", b"/health/live", b"/stats"
@@ -38,7 +40,9 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes  # of one that flows what has come of it so far
+    flow: Flow | None = None
+    length: int | None = None  # bytes in all, where the flow's sender told
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +67,8 @@
     come_back: float = 0.0
     headers: Headers | None = None
     body: bytes = b""
+    flow: Flow | None = None
+    length: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +78,8 @@
     status: int
     headers: Headers
     body: bytes
+    flow: Flow | None = None
+    length: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +118,7 @@
 
 
 def decode_invocation(
-    request: h11.Request, body: bytes, offerings: Mapping[str, api.Offering]
+    request: h11.Request, body: bytes, offerings: Mapping[str, api.Offering], flow: Flow | None = None
 ) -> tuple[api.Invocation, Message] | BadInput:
     headers = list(request.headers)
     found = dict(headers)
@@ -132,8 +140,10 @@
         time_left=time_left(budget, offering),
         key=_key(query),
         again=found.get(b"x-again") == b"1",
+        flows=flow is not None,
     )
-    return invocation, Message(request.method, request.target, _passed_on(headers), body)
+    length = int(found[b"content-length"]) if flow is not None and b"content-length" in found else None
+    return invocation, Message(request.method, request.target, _passed_on(headers), body, flow, length)
 
 
 def time_left(budget: bytes | None, offering: api.Offering) -> float:
@@ -158,7 +168,7 @@
             headers.append((b"Retry-After", b"%.3f" % answer.come_back))
     else:
         status, body = 502, b"terminated\n"
-    return _response(status, headers, body, closing)
+    return _response(status, headers, body, closing, answer.flow is not None, answer.length)
 
 
 def encode_plain(status: int, words: str, closing: bool) -> tuple[h11.Response, bytes]:
@@ -166,8 +176,11 @@
     return _response(status, [(b"Content-Type", b"text/plain")], words.encode() + b"\n", closing)
 
 
-def _response(status: int, headers: Headers, body: bytes, closing: bool) -> tuple[h11.Response, bytes]:
-    headers.append((b"Content-Length", b"%d" % len(body)))
+def _response(
+    status: int, headers: Headers, body: bytes, closing: bool, flows: bool = False, length: int | None = None
+) -> tuple[h11.Response, bytes]:
+    if not flows or length is not None:  # without a length it goes in chunks, or ends with its connection
+        headers.append((b"Content-Length", b"%d" % (len(body) if length is None else length)))
     if closing:
         headers.append((b"Connection", b"close"))
     return h11.Response(status_code=status, headers=headers, reason=_REASONS.get(status, b"")), body
@@ -206,7 +219,11 @@
     if not any(name == b"host" for name, _ in headers):
         headers.append((b"Host", host.encode()))  # an older client sent none
     headers.append((b"X-Budget-Ms", b"%d" % max(int(time_left * 1000.0), 1)))
-    if message.body or message.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
+    if message.flow is not None and message.length is None:
+        headers.append((b"Transfer-Encoding", b"chunked"))
+    elif message.flow is not None:
+        headers.append((b"Content-Length", b"%d" % message.length))
+    elif message.body or message.method not in (b"GET", b"HEAD", b"DELETE", b"OPTIONS"):
         headers.append((b"Content-Length", b"%d" % len(message.body)))
     return h11.Request(method=message.method, target=message.target, headers=headers)
 
@@ -228,7 +245,7 @@
 
 
 def completed(reply: Reply) -> Answer:
-    return Answer(Ending.COMPLETED, headers=reply.headers, body=reply.body)
+    return Answer(Ending.COMPLETED, 0.0, reply.headers, reply.body, reply.flow, reply.length)
 
 
 # Discovery.
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -27,9 +27,9 @@
 from thornladder.streams import Held
 from thornladder.tasks import Tasks
 
-SWEEP = 0.25  # seconds between looks at connections: an eighth of the shortest time that one is given
+SWEEP = 0.15  # seconds between looks at connections: a trickle that may take 2.6 s ends within 3
 SPARE = 24  # descriptors for all but connections of clients and to backends: a dozen, and as many to spare
-LARGE_BODIES = 16  # of the memory for large answers: each is there up to three times while it is put together
+LARGE_BODIES = 4  # of the memory for large bodies on their way, a fixed cost each (`flow.COST`)
 CLIENTS = 0.6  # of the rest are for clients: an invocation holds one, and seldom more than one to a backend
 
 
--- a/thornladder/streams.py
+++ b/thornladder/streams.py
@@ -30,13 +30,13 @@
     return raw(stream).fileno()
 
 
-LARGE = 64 * 1024  # bytes: bodies up to here are the rule, and are not counted
+LARGE = 64 * 1024  # bytes: bodies up to here are the rule, and are kept whole
 
 
 class Held:
-    """Bytes of large bodies in this node's memory, on their way in from backends and out to clients.
+    """Bytes of large bodies on their way through this node's memory.
 
-    Guards against a crowd of large answers, or of clients that take them slowly, that outgrows the memory.
+    Guards against a crowd of them, or of sides that take them slowly, that outgrows the memory.
     """
 
     def __init__(self, most: int) -> None:
@@ -55,10 +55,6 @@
             self.over = holder
         self.bytes += size
 
-    def add(self, size: int) -> None:
-        """Counts bytes that are there already."""
-        self.bytes += size
-
     def give_back(self, size: int, holder: object = None) -> None:
         if self.over is holder:
             self.over = None
