--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -17,7 +17,7 @@
 from harness import Bank, Client, Got, Peer, call, config, listed, news, reply, until
 from test_process import RUN
 
-from thornladder.handover import Phase, Places, Starts
+from thornladder.handover import Phase, Places, Seen, Starts
 from thornladder.interface import ListKind, State
 from thornladder.maintenance import Maintenance, Mark
 from thornladder.messages import decode_list
@@ -151,6 +151,25 @@
         assert len(platform.backends[1].got) == count
 
 
+async def test_a_process_that_only_starts_takes_no_descriptors_from_the_one_that_serves(
+    tmp_path: Path,
+) -> None:
+    # The one that serves was cut to a half of the descriptors, closed connections and left others unread.
+    async with Platform(tmp_path, done) as platform:
+        _, first = await platform.run()
+        await platform.ready(first)
+        clients = [await platform.client() for _ in range(270)]  # 564 are for clients
+        for number, client in enumerate(clients):
+            assert (await client.ask(f"a{number}", "look")).target in ("200", "503")
+        platform.discovery.answer = lambda _: None
+        new, _ = await platform.run()
+        await anyio.sleep(1.0)
+        for number, client in enumerate(clients):
+            answer = await client.ask(f"b{number}", "look")
+            assert answer.target in ("200", "503") and "connection" not in answer.headers
+        new.kill()
+
+
 async def test_a_new_process_that_dies_before_its_yes_changes_nothing(tmp_path: Path) -> None:
     async with Platform(tmp_path, done) as platform:
         old, first = await platform.run()
@@ -176,17 +195,17 @@
 
 def test_a_place_is_free_as_soon_as_its_holder_is_dead(tmp_path: Path) -> None:
     one, two = Places(str(tmp_path), "n"), Places(str(tmp_path), "n")
-    one.take(Phase.SERVING)
-    assert two.others() == [Phase.SERVING] and one.others() == []
-    two.take(Phase.STARTING)
-    assert one.others() == [Phase.STARTING] and two.others() == [Phase.SERVING]
-    one.take(Phase.LEAVING)
-    assert two.others() == [Phase.LEAVING] and Places(str(tmp_path), "m").others() == []
+    one.take(Phase.SERVING, 7)
+    assert two.others() == [Seen(Phase.SERVING, 7)] and one.others() == []
+    two.take(Phase.STARTING, 0)
+    assert one.others() == [Seen(Phase.STARTING, 0)] and two.others() == [Seen(Phase.SERVING, 7)]
+    one.take(Phase.LEAVING, 123)
+    assert two.others() == [Seen(Phase.LEAVING, 123)] and Places(str(tmp_path), "m").others() == []
     os.close(one.own[1])  # as the kernel does at any death
     assert two.others() == []
     for path in tmp_path.iterdir():
         path.write_bytes(b"\xff" * 40)
-    assert Places(str(tmp_path), "n").others() == [Phase.STARTING]
+    assert Places(str(tmp_path), "n").others() == [Seen(Phase.STARTING, 0)]
     assert Places(str(tmp_path / "none"), "n").others() == []
 
 
--- a/thornladder/handover.py
+++ b/thornladder/handover.py
@@ -11,7 +11,7 @@
 from contextlib import contextmanager, suppress
 from enum import Enum
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from thornladder.fields import Malformed, objects, parse, take
 from thornladder.maintenance import Mark
@@ -73,6 +73,13 @@
     LEAVING = "leaving"
 
 
+class Seen(NamedTuple):
+    """What another process of this node says of itself."""
+
+    phase: Phase
+    used: int  # descriptors
+
+
 class Places:
     """Who is alive of this node's processes: each holds a lock on a file, which any death frees."""
 
@@ -82,12 +89,12 @@
         self.paths = [Path(folder) / f"{_key(node)}.process-{number}" for number in range(self.MOST)]
         self.own: tuple[int, int] | None = None  # the number of this process's place, and its descriptor
 
-    def take(self, phase: Phase) -> None:
+    def take(self, phase: Phase, used: int) -> None:
         """Tells the others how far this one is; the first time it takes a place that nobody holds."""
         if self.own is None:
             self.own = next(filter(None, map(self._lock, range(self.MOST))), None)
         if self.own is not None:
-            os.pwrite(self.own[1], b"%-16s" % phase.value.encode(), 0)
+            os.pwrite(self.own[1], b"%-16s%-8d" % (phase.value.encode(), used), 0)
 
     def _lock(self, number: int) -> tuple[int, int] | None:
         try:
@@ -101,10 +108,10 @@
             return None
         return number, descriptor
 
-    def others(self) -> list[Phase]:
-        return [phase for number in range(self.MOST) if (phase := self._phase(number)) is not None]
+    def others(self) -> list[Seen]:
+        return [seen for number in range(self.MOST) if (seen := self._seen(number)) is not None]
 
-    def _phase(self, number: int) -> Phase | None:
+    def _seen(self, number: int) -> Seen | None:
         """Of the process that holds this place; None if nobody else does."""
         if self.own is not None and number == self.own[0]:
             return None
@@ -116,9 +123,11 @@
             fcntl.flock(descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
             return None
         except OSError:
-            words = os.pread(descriptor, 16, 0).decode("ascii", "replace").strip()
+            text = os.pread(descriptor, 24, 0)
+            words, used = text[:16].decode("ascii", "replace").strip(), text[16:].strip()
             # One that has its lock and has not said how far it is has only begun.
-            return next((phase for phase in Phase if phase.value == words), Phase.STARTING)
+            phase = next((phase for phase in Phase if phase.value == words), Phase.STARTING)
+            return Seen(phase, int(used) if used.isdigit() else 0)
         finally:
             os.close(descriptor)
 
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -18,7 +18,7 @@
 from thornladder.clients.front import Front
 from thornladder.discovery.watch import Watch
 from thornladder.fields import Malformed
-from thornladder.handover import Marks, Phase, Places, Starts
+from thornladder.handover import Marks, Phase, Places, Seen, Starts
 from thornladder.host import Clock, NodeHost
 from thornladder.maintenance import Maintenance
 from thornladder.messages import ListAnswer
@@ -102,24 +102,31 @@
         self.starts = Starts(config.folder, config.name)
         self.places = Places(config.folder, config.name)
         self.phase = Phase.STARTING
-        self.beside: list[Phase] = []  # other processes of this node
+        self.beside: list[Seen] = []  # other processes of this node
+        self.used = 0  # descriptors
         self.serving = 1  # processes of it that take clients or have some, this one among them
 
     def begin(self, now: float) -> Maintenance:
         """Takes a place, and what stands written."""
-        self.places.take(self.phase)
+        self.places.take(self.phase, self.used)
         self.beside = self.places.others()
         maintenance = Maintenance(self.marks.load())
         maintenance.warm_from(self.starts.load(), now)
         return maintenance
 
     async def run(self, host: NodeHost, front: Front, pool: Pool, held: Held) -> None:
-        most = front.most, pool.most, held.most
+        clients, backends, memory = front.most, pool.most, held.most
         while True:
+            self.used = front.held + pool.held
             self.look(host)
-            # Descriptors and memory are one node's, whoever serves.
+            # Descriptors and memory are one node's, whoever serves. Guards against connections closed, and
+            # others left unread, when one that serves is cut to a half and the other holds next to nothing.
             parts = 1 + len(self.beside)
-            front.most, pool.most, held.most = (max(each // parts, 4) for each in most)
+            others = sum(seen.used + SPARE for seen in self.beside)
+            spare = max(clients + backends - self.used - others, 0) // parts
+            front.most = min(clients, max(front.held + round(CLIENTS * spare), 4))
+            pool.most = min(backends, max(pool.held + round((1.0 - CLIENTS) * spare), 4))
+            held.most = memory // parts
             await anyio.sleep(self.LOOK)
 
     def retune(self, decisions: dict[str, Any], host: NodeHost) -> None:
@@ -127,12 +134,13 @@
         host.settle(decisions, self.serving)
 
     def look(self, host: NodeHost) -> None:
-        self.places.take(self.phase)
+        self.places.take(self.phase, self.used)
         beside = self.places.others()
-        if beside != self.beside:
-            self.log.info("beside other processes", phases=[phase.value for phase in beside])
+        phases = [seen.phase for seen in beside]
+        if phases != [seen.phase for seen in self.beside]:
+            self.log.info("beside other processes", phases=[phase.value for phase in phases])
         self.beside = beside
-        serving = 1 + sum(phase is not Phase.STARTING for phase in beside)
+        serving = 1 + sum(phase is not Phase.STARTING for phase in phases)
         if serving != self.serving:
             self.serving = serving
             host.settle(self.decisions, serving)
