--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -14,10 +14,11 @@
 
 import anyio
 import pytest
-from harness import Bank, Client, Got, Peer, call, config, listed, news, reply, until
+from harness import SETTINGS, Bank, Bench, Client, Got, Peer, call, config, entry, listed, news, reply, until
 from test_process import RUN
 
-from thornladder.handover import Phase, Places, Seen, Starts
+from thornladder import decide, settings
+from thornladder.handover import Learned, Lessons, Phase, Places, Seen
 from thornladder.interface import ListKind, State
 from thornladder.maintenance import Maintenance, Mark
 from thornladder.messages import decode_list
@@ -210,10 +211,12 @@
 
 
 def test_what_is_cold_stays_cold_for_the_process_that_takes_over(tmp_path: Path) -> None:
-    starts = Starts(str(tmp_path), "n")
-    starts.keep({"s0": 100.0, "s1": 200.0, "s2": 90.0, "s3": -1e9})
+    lessons = Lessons(str(tmp_path), "n")
+    lessons.keep(Learned({"s0": 100.0, "s1": 200.0, "s2": 90.0, "s3": -1e9}, 4.5), 104.0)
+    told = Lessons(str(tmp_path), "n").load(105.0)
+    assert told.room == 4.5 and Lessons(str(tmp_path), "n").load(204.0).room == 0.0  # of another time
     it = Maintenance({"s2": Mark(True, 95.0)})
-    it.warm_from(Starts(str(tmp_path), "n").load(), 105.0)
+    it.warm_from(told.starts, 105.0)
     known = {"generation": 1, "reset": True, "instances": [listed(number, 1) for number in range(4)]}
     laid = it.lay(decode_list(known), 105.0)
     assert laid.kind is ListKind.WHOLE
@@ -221,6 +224,19 @@
     assert laid.entries[2].state is State.DRAINING
 
 
+def test_a_process_that_takes_over_has_the_room_that_was_learned() -> None:
+    # Its first room held it to a push for each backend: most was nacked for ten seconds after an upgrade.
+    rooms = {}
+    for room in (0.0, 4.5, 99.0):
+        bench = Bench()
+        bench.node = decide.Node(
+            bench, seed=1, now=bench.now, room=room, **{**settings.decisions(SETTINGS), "nodes": 2}
+        )
+        bench.list([entry(number) for number in range(8)])
+        rooms[room] = bench.node.admission.room
+    assert rooms == {0.0: 4.0, 4.5: 18.0, 99.0: 24.0}
+
+
 async def test_a_folder_that_cannot_be_written_is_no_end_but_a_no(monkeypatch: pytest.MonkeyPatch) -> None:
     async with Bank(done) as bank:
         for path in Path(bank.folder.name).iterdir():
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -721,13 +721,13 @@
     LAST_MOMENT = 0.005  # seconds; nothing can be answered in less
     FRESH = 0.05  # seconds: no new report is worth its price before
 
-    def __init__(self, host: Host, *, seed: int, now: float, **settings: object) -> None:  # of on_settings
+    def __init__(self, host: Host, *, seed: int, now: float, room: float = 0.0, **settings: object) -> None:
         self.host, self.chance = host, Chance(seed)
         self.roster, self.part, self.rotation = Roster(now), Part(), Rotation(self.chance)
         self.health, self.admission = Health(self.chance, host.log), Admission()
-        self.retries, self.core = Retries(), Core()
-        self.live: dict[str, Live] = {}
-        self.on_settings(now, **settings)
+        self.retries, self.core, self.live = Retries(), Core(), {}
+        self.on_settings(now, **settings)  # room: for each backend, where another process has learned it
+        self.admission.first = min(room, self.admission.most) or self.admission.first
         self.asks, self.began = 0.0, now  # asks: probes for reports that may be sent
         self.out = 0  # pushes that have not ended and are not past their target time
         host.set_timer(self.INTERVAL * self.chance.draw(), "interval")
--- a/thornladder/handover.py
+++ b/thornladder/handover.py
@@ -132,25 +132,39 @@
             os.close(descriptor)
 
 
-class Starts:
-    """Since when each backend is ramped, for the process that takes over. What is old by then harms nothing:
-    the moments are of the one clock that all machines read."""
+class Learned(NamedTuple):
+    """What the process that takes over is to know from its first moment on."""
+
+    starts: dict[str, float]  # since when each backend is ramped that still is
+    room: float = 0.0  # pushes that may be out for each backend; 0 where that is not known
+
+
+class Lessons:
+    """The same on the disk. Start times may be old: they are moments of the one clock that all machines read.
+    The room holds for a short while alone."""
+
+    FRESH = 10.0  # seconds: about as long as a load lasts
 
     def __init__(self, folder: str, node: str) -> None:
-        self.sheet = Sheet(folder, node, "starts")
-        self.written: dict[str, float] | None = None
+        self.sheet = Sheet(folder, node, "learned")
+        self.written, self.at = Learned({}), -self.FRESH
 
-    def load(self) -> dict[str, float]:
+    def load(self, now: float) -> Learned:
         starts: dict[str, float] = {}
+        told, room = self.sheet.read() or {}, 0.0
         with suppress(Malformed):
-            for line in objects(self.sheet.read() or {}, "starts"):
+            for line in objects(told, "starts"):
                 starts[take(line, "id", str)] = take(line, "at", float)
-        return starts
-
-    def keep(self, starts: dict[str, float]) -> None:
-        if starts != self.written:
-            self.sheet.write({"starts": [{"id": id, "at": at} for id, at in sorted(starts.items())]})
-            self.written = starts
+            if 0.0 <= now - take(told, "at", float, 0.0) < self.FRESH:
+                room = max(take(told, "room", float, 0.0), 0.0)
+        return Learned(starts, room)
+
+    def keep(self, learned: Learned, now: float) -> None:
+        """Writes when start times change, and once a second for the room."""
+        if learned.starts != self.written.starts or now - self.at > 1.0:
+            lines = [{"id": id, "at": at} for id, at in sorted(learned.starts.items())]
+            self.sheet.write({"starts": lines, "room": round(learned.room, 3), "at": now})
+            self.written, self.at = learned, now
 
 
 class Marks:
--- a/thornladder/host.py
+++ b/thornladder/host.py
@@ -79,13 +79,14 @@
         seed: int,
         told: bool,
         decisions: dict[str, Any],
+        room: float = 0.0,
     ) -> None:
         self.pushes, self.watch = pushes, watch
         now = self.clock()
         known = self.maintenance.lay(known, now)
         self.probes = decisions["limits"].probes
         pushes.on_list(known)
-        self.node = decide.Node(self, seed=seed, now=now, **decisions)
+        self.node = decide.Node(self, seed=seed, now=now, room=room, **decisions)
         self.node.on_list(now, ListKind.RESTORED, known.entries)
         if told:
             watch.start()
@@ -199,6 +200,12 @@
         known = self.node.roster.known.items()
         return {id: backend.ramp_start for id, backend in known if backend.ramp_start is not None}
 
+    @property
+    def room(self) -> float:
+        """How many pushes for each backend that is this node's may be out, as the module has learned."""
+        admission = self.node.admission
+        return admission.room / admission.fair if admission.fair > 0.0 else 0.0
+
     def mark(self, marks: dict[str, Mark]) -> None:
         """Takes backends out by hand or puts them back, whoever was asked to."""
         news = self.maintenance.set(marks)
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -18,7 +18,7 @@
 from thornladder.clients.front import Front
 from thornladder.discovery.watch import Watch
 from thornladder.fields import Malformed
-from thornladder.handover import Marks, Phase, Places, Seen, Starts
+from thornladder.handover import Learned, Lessons, Marks, Phase, Places, Seen
 from thornladder.host import Clock, NodeHost
 from thornladder.maintenance import Maintenance
 from thornladder.messages import ListAnswer
@@ -55,7 +55,9 @@
         reports = config.decisions["limits"].asks > 0.0
         pushes = Pushes(pool, transport.drain_grace, held, tasks, host, clock, log, reports)
         watch = Watch(config.discovery, known.version, tasks, host.list_told, log)
-        host.start(pushes, watch, known, config.seed, config.list_is_told, config.decisions)
+        host.start(
+            pushes, watch, known, config.seed, config.list_is_told, config.decisions, handover.learned.room
+        )
         desk = Desk(host, host.node.offerings, clock, held, lambda: host.lag.late, host.turns_away, log)
         front = Front(desk, clients, tasks, config.inherited is not None)
         operations = Operations(host, front, handover.marks.add, log)
@@ -99,7 +101,7 @@
     def __init__(self, config: Config, log: Any) -> None:
         self.decisions, self.log = config.decisions, log
         self.marks = Marks(config.folder, config.name)
-        self.starts = Starts(config.folder, config.name)
+        self.lessons, self.learned = Lessons(config.folder, config.name), Learned({})
         self.places = Places(config.folder, config.name)
         self.phase = Phase.STARTING
         self.beside: list[Seen] = []  # other processes of this node
@@ -111,7 +113,8 @@
         self.places.take(self.phase, self.used)
         self.beside = self.places.others()
         maintenance = Maintenance(self.marks.load())
-        maintenance.warm_from(self.starts.load(), now)
+        self.learned = self.lessons.load(now)
+        maintenance.warm_from(self.learned.starts, now)
         return maintenance
 
     async def run(self, host: NodeHost, front: Front, pool: Pool, held: Held) -> None:
@@ -146,10 +149,13 @@
             host.settle(self.decisions, serving)
         host.mark(self.marks.news())
         if self.phase is Phase.SERVING:
+            # What it learns of the room beside another says little: the two share a core, and are late.
+            room = host.room if not beside else self.learned.room
+            self.learned = Learned(host.starts, room)
             try:
-                self.starts.keep(host.starts)
+                self.lessons.keep(self.learned, host.clock())
             except OSError as error:
-                self.log.warning("start times could not be written down", error=repr(error))
+                self.log.warning("what was learned could not be written down", error=repr(error))
 
 
 async def _sweep(front: Front, pushes: Pushes) -> None:
