--- a/thornladder/clients/connection.py
+++ b/thornladder/clients/connection.py
@@ -47,6 +47,15 @@
         self.decide, self.longest = decide, 0.0  # the longest cut-off of anything that may be in hand
         self.retune(offerings)
         self.leaving = self.standby = False
+        self.succeeded = False  # another process of this node serves at the same door
+
+    @property
+    def ready(self) -> bool:
+        """Whether this node is, be it by another process.
+
+        Guards against a front that turns from a node because the one that leaves says so.
+        """
+        return not self.closing or (self.leaving and self.succeeded and not self.standby)
 
     def retune(self, offerings: Mapping[str, Offering]) -> None:
         """What comes from now on is of one of these; what is in hand is not touched."""
@@ -380,7 +389,7 @@
             return
         path = request.target.partition(b"?")[0]
         if path in (messages.READY_PATH, messages.LIVE_PATH):
-            away = self.desk.closing and path == messages.READY_PATH
+            away = not self.desk.ready and path == messages.READY_PATH
             words = "ready" if not away else "leaving" if self.desk.leaving else "standby"
             self._answer(*messages.encode_plain(503 if away else 200, words, self.desk.closing))
             return
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -132,6 +132,13 @@
             held.most = memory // parts
             await anyio.sleep(self.LOOK)
 
+    def leave(self, front: Front) -> None:
+        """Who else serves as this one leaves decides whether the node is still ready."""
+        self.phase = Phase.LEAVING
+        front.desk.succeeded = front.shared and any(
+            seen.phase is Phase.SERVING for seen in self.places.others()
+        )
+
     def retune(self, decisions: dict[str, Any], host: NodeHost) -> None:
         self.decisions = decisions
         host.settle(decisions, self.serving)
@@ -225,7 +232,7 @@
                     log.exception("reading the configuration again failed")
             elif not leaving:
                 leaving = True
-                handover.phase = Phase.LEAVING
+                handover.leave(front)
                 log.info("leaving", signal=number.name)
                 tasks.start("leaving", _leave, front, tasks, log)
 
