Connections that nobody uses end soon while clients have few left to ask on

Also: a body that goes past the most after its answer ends quietly; the handover begins anew with the limits of the start; tests of the environment's errors.

--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import socket
+from contextlib import suppress
 from pathlib import Path
 
 import anyio
@@ -226,6 +227,22 @@
         assert [got.headers["x-call-id"] for got in bank.backends[0].got] == ["b"]
 
 
+async def test_what_is_nacked_at_its_head_is_read_to_no_more_than_the_most(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("thornladder.clients.connection.MOST_BODY", 200_000)
+    async with Bank() as bank:
+        client = await bank.client()
+        chunk = b"%x\r\n%s\r\n" % (50_000, BODY[:50_000])
+        await client.stream.send(head("a", "Transfer-Encoding: chunked") + 2 * chunk)
+        assert (await client.answer_to("a")).target == "503"
+        with suppress(anyio.BrokenResourceError):
+            await client.stream.send(5 * chunk)
+        with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)), anyio.fail_after(2.0):
+            await client.stream.receive()
+        assert not bank.log.facts("a client's connection failed")
+
+
 async def test_a_body_without_end_is_turned_down(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("thornladder.clients.connection.MOST_BODY", 200_000)
     async with Bank(lambda _: reply(200)) as bank:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -275,6 +275,34 @@
         assert len(held) == 30
 
 
+async def test_clients_that_ask_once_and_keep_their_connection_leave_room_for_others() -> None:
+    # A node with nothing to do was not asked: clients had no connection left to ask on (incident r936087).
+    async with Bank(done, sockets=120) as bank:
+        used = await bank.client()
+        kept = [await bank.client() for _ in range(36)]
+        for number, client in enumerate(kept):
+            assert (await client.ask(f"a{number}", "look")).target == "200"
+        ended: list[int] = []
+
+        async def watch(number: int) -> None:
+            with suppress(anyio.EndOfStream):
+                await kept[number].stream.receive()
+            ended.append(number)
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(36):
+                tasks.start_soon(watch, number)
+            number = 0
+            with anyio.fail_after(1.0):  # not after two seconds
+                while len(ended) < 16:
+                    number += 1
+                    answer = await used.ask(f"b{number}", "look")
+                    assert answer.target == "200" and "connection" not in answer.headers
+                    await anyio.sleep(0.01)
+            assert set(ended) <= set(range(24))  # the longest unused first
+            tasks.cancel_scope.cancel()
+
+
 async def test_no_bytes_from_a_client_end_more_than_their_connection() -> None:
     chance = random.Random(3)
     whole = b"POST /pay?key=1 HTTP/1.1\r\nHost: a\r\nX-Call-Id: %d\r\nContent-Length: 3\r\n\r\nabc"
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
+import os
 import random
 from pathlib import Path
 
 import anyio
 import pytest
-from harness import Bank, Got, called, listed, news, reply, until
+from harness import Bank, Got, called, config, listed, news, reply, until
+from test_process import RUN
 
 from thornladder.admin.calls import MOST_BODY
 from thornladder.admin.server import Admin
@@ -236,3 +238,28 @@
     Sheet(str(tmp_path), "n/1", "maintenance").write({"marks": [{"id": "a", "out": 3}, 4]})
     assert one.load() == {}
     assert not [each for each in tmp_path.iterdir() if each.suffix.isdigit()]
+
+
+@pytest.mark.parametrize(
+    "given, code, words",
+    [({"EDGE_ADMIN_ADDR": "nowhere"}, 2, "admin_addr"),
+     ({"EDGE_ADMIN_ADDR": "127.0.0.1:99999"}, 2, "admin_addr"),
+     ({"EDGE_INHERITED_FD": "five"}, 2, "EDGE_INHERITED_FD"), ({"EDGE_INHERITED_FD": "77"}, 1, "descriptor")],
+    ids=["no address", "no port", "no number", "not open"],
+)  # fmt: skip
+async def test_a_bad_environment_ends_the_start_with_one_line(tmp_path: Path, given, code, words) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config([], 1)))
+    environment = {**os.environ, "TMPDIR": str(tmp_path), "EDGE_CONFIG": str(path), **given}
+    ended = await anyio.run_process(RUN, env=environment, check=False)
+    assert ended.returncode == code and ended.stderr.count(b"\n") == 1
+    assert words in ended.stderr.decode()
+
+
+async def test_a_second_address_in_use_ends_the_start(tmp_path: Path) -> None:
+    async with Bank(done) as bank:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({**config([], 1), "admin_addr": f"127.0.0.1:{bank.admin}"}))
+        environment = {**os.environ, "TMPDIR": str(tmp_path), "EDGE_CONFIG": str(path)}
+        ended = await anyio.run_process(RUN, env=environment, check=False)
+        assert ended.returncode == 1 and ended.stderr.count(b"\n") == 1
--- a/thornladder/clients/connection.py
+++ b/thornladder/clients/connection.py
@@ -352,7 +352,10 @@
     def _take(self, data: bytes) -> None:
         """A part of a body."""
         self.got += len(data)
-        if self.got > MOST_BODY:
+        if self.got > MOST_BODY and self.discarding:
+            self.closing, self.discarding = True, False  # it has its answer
+            self.wake.set()
+        elif self.got > MOST_BODY:
             self._give_up_upload(413, "the body is too long")
         elif self.upload is not None:
             self.coming.append(bytes(data))
--- a/thornladder/clients/front.py
+++ b/thornladder/clients/front.py
@@ -28,8 +28,17 @@
     AWAY = 2.0  # … and after which all that is idle is: clients in use have seen their last answers by then
     GREETED = 0.1  # seconds in which a client says something that connects to say it
 
-    def __init__(self, desk: Desk, most: int, tasks: Tasks, shared: bool = False) -> None:
-        """`shared`: the listening socket is others' too, so that nothing is done to it but accepting."""
+    FREE = 0.5  # of the connections that clients have for asking: more than those are not kept without need …
+    UNUSED = 0.2  # … once they were idle for these seconds; clients that go on asking use theirs sooner
+
+    def __init__(
+        self, desk: Desk, most: int, tasks: Tasks, shared: bool = False, asking: int | None = None
+    ) -> None:
+        """`shared`: the listening socket is others' too, so that nothing is done to it but accepting.
+
+        `asking`: how many connections clients have at most to ask on.
+        """
+        self.asking = most if asking is None else asking
         self.desk, self.most, self.tasks, self.shared = desk, most, tasks, shared
         self.connections: set[ClientConnection] = set()
         self.held = 0  # those, and the accepted ones that are not among them yet
@@ -161,12 +170,26 @@
         now = self.desk.clock()
         if self.desk.standby:
             self._send_away(now)
+        self._free(now)
         keep = self.LEAST_KEEP if self.held > 0.5 * self.most else self.KEEP
         for connection in list(self.connections):
             self._alone(connection, connection.look, now, keep)
         if self.held > self.NEARLY * self.most:
             self._make_room()
 
+    def _free(self, now: float) -> None:
+        """Ends what nobody uses, the longest unused first, while clients have few connections left to ask on.
+
+        Guards against clients that ask once and keep their connection for good: they held all that clients
+        may have, and a node with nothing to do was not asked (incident r936087).
+        """
+        spoken = [each for each in self.connections if each.spoken and not each.closing]
+        count = len(spoken) - round(self.FREE * self.asking)
+        if count > 0:
+            unused = [each for each in spoken if each.idle and now - each.since > self.UNUSED]
+            for connection in sorted(unused, key=lambda each: each.since)[:count]:
+                self._alone(connection, connection.close_idle)
+
     def _make_room(self) -> bool:
         """Closes some of those that say nothing, or else of the idle ones, oldest first; whether it did.
 
--- a/thornladder/service.py
+++ b/thornladder/service.py
@@ -30,6 +30,7 @@
 SWEEP = 0.15  # seconds between looks at connections: a trickle that may take 2.6 s ends within 3
 SPARE = 24  # descriptors for all but connections of clients and to backends: a dozen, and as many to spare
 LARGE_BODIES = 4  # of the memory for large bodies on their way, a fixed cost each (`flow.COST`)
+ASKING = 1.0 / 3.0  # of all descriptors: as many connections clients have at most to ask on
 CLIENTS = 0.6  # of the rest are for clients: an invocation holds one, and seldom more than one to a backend
 
 
@@ -59,7 +60,8 @@
             pushes, watch, known, config.seed, config.list_is_told, config.decisions, handover.learned.room
         )
         desk = Desk(host, host.node.offerings, clock, held, lambda: host.lag.late, host.turns_away, log)
-        front = Front(desk, clients, tasks, config.inherited is not None)
+        asking = max(round(ASKING * config.sockets), 4)
+        front = Front(desk, clients, tasks, config.inherited is not None, asking)
         operations = Operations(host, front, handover.marks.add, log)
         tasks.keep("a look at idle connections", _sweep, front, pushes)
         tasks.keep("the handover", handover.run, host, front, pool, held)
@@ -106,6 +108,7 @@
         self.phase = Phase.STARTING
         self.beside: list[Seen] = []  # other processes of this node
         self.used = 0  # descriptors
+        self.whole: tuple[int, int, int] | None = None  # of clients, to backends; bytes: of the whole node
         self.serving = 1  # processes of it that take clients or have some, this one among them
 
     def begin(self, now: float) -> Maintenance:
@@ -118,7 +121,9 @@
         return maintenance
 
     async def run(self, host: NodeHost, front: Front, pool: Pool, held: Held) -> None:
-        clients, backends, memory = front.most, pool.most, held.most
+        # As it was at the start: after an error this begins anew.
+        self.whole = self.whole or (front.most, pool.most, held.most)
+        clients, backends, memory = self.whole
         while True:
             self.used = front.held + pool.held
             self.look(host)
