A backend that takes no part of a large body for 5 s ends its push

Cause: read off the code while going through what ends a large invocation: with a backend that accepts and never reads, the part on its way waited for ever, its client's time never began, and the push had 900 s. The test (a listening socket that nobody reads) hangs without the change. Change: ClientConnection.UNTAKEN and NodeHost.stuck; the push ends as one that never ran, so it is nacked.

--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -12,7 +12,7 @@
 import h11
 import pytest
 from anyio.abc import SocketStream
-from harness import OFFERINGS, Account, Bank, Bench, Client, Got, Peer, entry, reply, until
+from harness import OFFERINGS, Account, Bank, Bench, Client, Got, Peer, entry, listed, news, reply, until
 from test_process import connect, started
 
 from thornladder import messages, service
@@ -197,6 +197,21 @@
         assert [got.headers["x-call-id"] for backend in bank.backends for got in backend.got] == ["b"]
 
 
+async def test_a_backend_that_takes_nothing_more_ends_its_push(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ClientConnection, "UNTAKEN", 0.3)
+    async with Bank(lambda _: reply(200)) as bank, anyio.create_task_group() as tasks:
+        with socket.create_server(("127.0.0.1", 0)) as deaf:  # accepted by its kernel, never read
+            news_of = news(2, listed(0, deaf.getsockname()[1]))
+            bank.discovery.answer = lambda got: news_of if "from=1" in got.target else None
+            for stream in list(bank.discovery.streams):
+                await stream.aclose()
+            await until(lambda: any("from=2" in got.target for got in bank.discovery.got))
+            client = await bank.client()
+            tasks.start_soon(client.stream.send, head("a", "Content-Length: 30000000") + bytes(30_000_000))
+            assert (await client.answer_to("a")).target == "503"
+            tasks.cancel_scope.cancel()
+
+
 async def test_silence_after_the_last_byte_is_terminated_within_the_time_that_was_given() -> None:
     async with Bank(lambda _: None) as bank:
         client = await bank.client()
--- a/thornladder/clients/connection.py
+++ b/thornladder/clients/connection.py
@@ -26,6 +26,8 @@
 
     def whole(self, exchange: Exchange) -> None: ...
 
+    def stuck(self, exchange: Exchange) -> None: ...
+
     def client_gone(self, exchange: Exchange) -> None: ...
 
 
@@ -75,6 +77,7 @@
         2.6  # seconds for a head, and for a body to come beyond its pace: clients may take 2 s for a head …
     )
     PACE = 56_000.0  # bytes a second of a body at least; clients send 64 kB/s, and in pieces
+    UNTAKEN = 5.0  # seconds for a part of a body to be taken by its backend; slow ones take one a second
     UNREAD = 10.0  # seconds for a part of an answer to be taken; past the longest cut-off
 
     def __init__(self, stream: SocketStream, desk: Desk, first: bytes = b"", waited: float = 0.0) -> None:
@@ -235,8 +238,13 @@
                     self._give_back()
             while self.coming:
                 part = self.coming.pop(0)
-                if self.upload is not None:
+                if self.upload is None:
+                    continue
+                with anyio.move_on_after(self.UNTAKEN) as waiting:
                     await self.upload.give(part)
+                if waiting.cancelled_caught and self.exchange is not None:
+                    # Guards against a client that waits for ever on a backend that takes nothing.
+                    self.desk.taker.stuck(self.exchange)
             if self.upload is not None and self.upload_over:
                 self._end_upload(True)
                 if self.exchange is not None:
--- a/thornladder/host.py
+++ b/thornladder/host.py
@@ -153,6 +153,11 @@
             scope.deadline = anyio.current_time() + left
         self._tell_of(exchange, self.node.on_whole, exchange.invocation.id, left)
 
+    def stuck(self, exchange: Exchange) -> None:
+        """What comes is not taken: its push ends, as one that never ran."""
+        for scope in exchange.scopes:
+            scope.cancel()
+
     def client_gone(self, exchange: Exchange) -> None:
         if exchange.over:
             return
