--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -215,6 +215,24 @@
         assert (await (await platform.client()).ask("b", "look")).target == "200"
 
 
+async def test_a_new_process_killed_after_its_yes_leaves_the_old_one_with_all(tmp_path: Path) -> None:
+    async with Platform(tmp_path, done) as platform:
+        old, first = await platform.run()
+        await platform.ready(first)
+        new, second = await platform.run()
+        await platform.ready(second)
+        new.kill()
+        await new.wait()
+        for number in range(20):
+            client = await platform.client()
+            assert (await client.raw(READY)).target == "200"
+            assert (await client.ask(f"a{number}", "pay", body=b"x")).target == "200"
+        assert (await call(first, "GET", "/status"))[0] == 200
+        old.send_signal(signal.SIGTERM)
+        with anyio.fail_after(2.2):
+            assert await old.wait() == 0
+
+
 # The files by themselves.
 
 
