The node's own files gather under thornladder/node, by a plain move

What node and adapter share (decide, budget, interface, settings, fields) stays on top.

No line of code was rewritten; policy is untouched.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -13,7 +13,7 @@
 import anyio.abc
 import h11
 
-from thornladder import decide, messages, service, settings
+from thornladder import decide, settings
 from thornladder.interface import (
     NO_REPORT,
     ColdRule,
@@ -29,6 +29,7 @@
     State,
     Tenant,
 )
+from thornladder.node import messages, service
 
 OFFERINGS = [
     Offering("look", Kind.REPEATABLE, "all", 5.0, 0.25, 1.0, 1.0, 0.2),
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -30,11 +30,11 @@
 )
 from test_process import connect, started
 
-from thornladder import messages, service, streams
-from thornladder.clients.connection import ClientConnection
-from thornladder.flow import COST
 from thornladder.interface import Invocation, Outcome
-from thornladder.streams import Held
+from thornladder.node import messages, service, streams
+from thornladder.node.clients.connection import ClientConnection
+from thornladder.node.flow import COST
+from thornladder.node.streams import Held
 
 pytestmark = pytest.mark.anyio
 BODY = random.Random(5).randbytes(400_000)
@@ -260,7 +260,7 @@
 async def test_what_is_nacked_at_its_head_is_read_to_no_more_than_the_most(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr("thornladder.clients.connection.MOST_BODY", 200_000)
+    monkeypatch.setattr("thornladder.node.clients.connection.MOST_BODY", 200_000)
     async with Bank() as bank:
         client = await bank.client()
         chunk = b"%x\r\n%s\r\n" % (50_000, BODY[:50_000])
@@ -274,7 +274,7 @@
 
 
 async def test_a_body_without_end_is_turned_down(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("thornladder.clients.connection.MOST_BODY", 200_000)
+    monkeypatch.setattr("thornladder.node.clients.connection.MOST_BODY", 200_000)
     async with Bank(lambda _: reply(200)) as bank:
         client = await bank.client()
         chunk = b"%x\r\n%s\r\n" % (50_000, BODY[:50_000])
--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -10,13 +10,13 @@
 from anyio._backends._asyncio import StreamProtocol
 from harness import Bank, Bench, Got, entry, reply, until
 
-from thornladder.clients.connection import ClientConnection
-from thornladder.clients.early import Early
-from thornladder.clients.front import Front
 from thornladder.decide import Core
-from thornladder.host import Lag, NodeHost
 from thornladder.interface import Kind, Offering
-from thornladder.streams import unread_for
+from thornladder.node.clients.connection import ClientConnection
+from thornladder.node.clients.early import Early
+from thornladder.node.clients.front import Front
+from thornladder.node.host import Lag, NodeHost
+from thornladder.node.streams import unread_for
 
 WHOLE = b"GET /look HTTP/1.1\r\nHost: a\r\nX-Call-Id: a\r\nX-Budget-Ms: 400\r\n\r\n"
 POST = b"POST /pay?key=1 HTTP/1.1\r\nHost: a\r\nX-Call-Id: b\r\nContent-Length: 3\r\n\r\nabc"
@@ -114,7 +114,7 @@
         kept = await bank.client()
         assert (await kept.ask("a0", "look")).target == "200" and not told
         monkeypatch.setattr(Lag, "late", True)
-        monkeypatch.setattr("thornladder.streams.unread_for", lambda _: 0.03)
+        monkeypatch.setattr("thornladder.node.streams.unread_for", lambda _: 0.03)
         for number in range(3):
             got = await kept.ask(f"a{number + 1}", "pay", 500, b"x")
             assert (got.target, got.headers["retry-after"]) == ("503", "0.200")
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -11,9 +11,10 @@
 import pytest
 from harness import SETTINGS, Bank, Bench, Got, config, entry, reply
 
-from thornladder import decide, messages, settings
+from thornladder import decide, settings
 from thornladder.fields import Malformed
 from thornladder.interface import NO_REPORT, ListKind, Outcome, Report, State
+from thornladder.node import messages
 
 OWN_NODE = {
     **SETTINGS,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -11,12 +11,12 @@
 import pytest
 from harness import Bank, Got, Peer, listed, news, reply, until
 
-from thornladder.backends.pushes import outcome_of
-from thornladder.clients.connection import ClientConnection
-from thornladder.discovery.watch import Watch
-from thornladder.http1 import Cause, Failure, Line, Stage
 from thornladder.interface import Outcome
-from thornladder.messages import MOST_BODY, MOST_WHOLE, Message, Reply
+from thornladder.node.backends.pushes import outcome_of
+from thornladder.node.clients.connection import ClientConnection
+from thornladder.node.discovery.watch import Watch
+from thornladder.node.http1 import Cause, Failure, Line, Stage
+from thornladder.node.messages import MOST_BODY, MOST_WHOLE, Message, Reply
 
 pytestmark = pytest.mark.anyio
 POST = b"POST /pay HTTP/1.1\r\nHost: a\r\nX-Call-Id: a\r\n"
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -12,13 +12,13 @@
 from harness import READY, Bank, Got, called, config, listed, news, reply, until
 from test_process import RUN
 
-from thornladder.admin.calls import MOST_BODY
-from thornladder.admin.server import Admin
-from thornladder.clients.front import Front
-from thornladder.handover import Marks, Sheet
 from thornladder.interface import Entry, ListKind, State
-from thornladder.maintenance import Maintenance, Mark
-from thornladder.messages import ListAnswer
+from thornladder.node.admin.calls import MOST_BODY
+from thornladder.node.admin.server import Admin
+from thornladder.node.clients.front import Front
+from thornladder.node.handover import Marks, Sheet
+from thornladder.node.maintenance import Maintenance, Mark
+from thornladder.node.messages import ListAnswer
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/test_unforeseen.py
+++ b/tests/test_unforeseen.py
@@ -14,15 +14,16 @@
 from anyio._backends._asyncio import SocketStream
 from harness import Bank, Got, listed, news, reply, until
 
-from thornladder import decide, messages, streams
-from thornladder.backends.pool import Pool
-from thornladder.backends.pushes import Pushes
-from thornladder.clients.connection import ClientConnection
-from thornladder.clients.front import Front
-from thornladder.discovery.watch import Watch
-from thornladder.exchange import Exchange
-from thornladder.host import Lag, NodeHost
-from thornladder.http1 import Line
+from thornladder import decide
+from thornladder.node import messages, streams
+from thornladder.node.backends.pool import Pool
+from thornladder.node.backends.pushes import Pushes
+from thornladder.node.clients.connection import ClientConnection
+from thornladder.node.clients.front import Front
+from thornladder.node.discovery.watch import Watch
+from thornladder.node.exchange import Exchange
+from thornladder.node.host import Lag, NodeHost
+from thornladder.node.http1 import Line
 
 pytestmark = pytest.mark.anyio
 ENDED = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, ConnectionError,
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -33,10 +33,10 @@
 from test_process import RUN
 
 from thornladder import decide, settings
-from thornladder.handover import Learned, Lessons, Phase, Places, Seen
 from thornladder.interface import ListKind, State
-from thornladder.maintenance import Maintenance, Mark
-from thornladder.messages import decode_list
+from thornladder.node.handover import Learned, Lessons, Phase, Places, Seen
+from thornladder.node.maintenance import Maintenance, Mark
+from thornladder.node.messages import decode_list
 
 pytestmark = pytest.mark.anyio
 
--- a/thornladder/__main__.py
+++ b/thornladder/__main__.py
@@ -11,9 +11,10 @@
 import anyio
 import structlog
 
-from thornladder import service, settings
+from thornladder import settings
 from thornladder.fields import Malformed
-from thornladder.messages import NO_LIST, decode_list
+from thornladder.node import service
+from thornladder.node.messages import NO_LIST, decode_list
 
 
 def main() -> int:
--- a/thornladder/admin/calls.py
+++ b/thornladder/node/admin/calls.py
@@ -8,8 +8,8 @@
 
 import h11
 
-from thornladder import messages
 from thornladder.fields import Malformed, parse, take
+from thornladder.node import messages
 
 MOST_HEAD = 8 * 1024  # bytes: an operator's call has a few short lines
 MOST_BODY = 4 * 1024  # bytes: one id
--- a/thornladder/admin/server.py
+++ b/thornladder/node/admin/server.py
@@ -8,8 +8,8 @@
 
 import anyio
 
-from thornladder.admin.calls import Call, Reader, Verdict, no
-from thornladder.tasks import Tasks
+from thornladder.node.admin.calls import Call, Reader, Verdict, no
+from thornladder.node.tasks import Tasks
 
 
 class Caller:
--- a/thornladder/backends/pool.py
+++ b/thornladder/node/backends/pool.py
@@ -5,8 +5,8 @@
 from collections import defaultdict
 from collections.abc import Callable
 
-from thornladder import http1
-from thornladder.http1 import Cause, Failure, Line, Stage
+from thornladder.node import http1
+from thornladder.node.http1 import Cause, Failure, Line, Stage
 from thornladder.settings import Address
 
 
--- a/thornladder/backends/pushes.py
+++ b/thornladder/node/backends/pushes.py
@@ -8,15 +8,15 @@
 
 import anyio
 
-from thornladder import messages
-from thornladder.backends.pool import Pool
-from thornladder.exchange import Exchange
-from thornladder.http1 import Cause, Failure, Line, Stage
 from thornladder.interface import NO_REPORT, ListKind, Outcome, Report, State
-from thornladder.messages import Answer, Ending, ListAnswer, Message, Reply
+from thornladder.node import messages
+from thornladder.node.backends.pool import Pool
+from thornladder.node.exchange import Exchange
+from thornladder.node.http1 import Cause, Failure, Line, Stage
+from thornladder.node.messages import Answer, Ending, ListAnswer, Message, Reply
+from thornladder.node.streams import Held
+from thornladder.node.tasks import Tasks
 from thornladder.settings import Address
-from thornladder.streams import Held
-from thornladder.tasks import Tasks
 
 
 class Told(Protocol):
--- a/thornladder/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -10,13 +10,13 @@
 import h11
 from anyio.abc import SocketStream
 
-from thornladder import messages, streams
-from thornladder.clients.early import Decide, Early
-from thornladder.exchange import Exchange
-from thornladder.flow import COST, Flow, narrow
 from thornladder.interface import Offering
-from thornladder.messages import MOST_BODY, MOST_WHOLE, Answer, BadInput
-from thornladder.streams import BROKEN, Held, readable
+from thornladder.node import messages, streams
+from thornladder.node.clients.early import Decide, Early
+from thornladder.node.exchange import Exchange
+from thornladder.node.flow import COST, Flow, narrow
+from thornladder.node.messages import MOST_BODY, MOST_WHOLE, Answer, BadInput
+from thornladder.node.streams import BROKEN, Held, readable
 
 
 class Taker(Protocol):
--- a/thornladder/clients/early.py
+++ b/thornladder/node/clients/early.py
@@ -5,8 +5,8 @@
 import re
 from collections.abc import Callable, Mapping
 
-from thornladder import messages
 from thornladder.interface import Offering
+from thornladder.node import messages
 
 _HEAD = re.compile(rb"(?:GET|POST) /([^ /?#\r\n]+)[^ \r\n]* HTTP/1\.1\r\n")
 _LENGTH = re.compile(rb"\r\nContent-Length: ?([0-9]{1,6})(?=\r\n)", re.IGNORECASE)
--- a/thornladder/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -10,9 +10,9 @@
 import anyio
 from anyio.abc import SocketStream
 
-from thornladder import streams
-from thornladder.clients.connection import ClientConnection, Desk
-from thornladder.tasks import Tasks
+from thornladder.node import streams
+from thornladder.node.clients.connection import ClientConnection, Desk
+from thornladder.node.tasks import Tasks
 
 
 class Front:
--- a/thornladder/discovery/watch.py
+++ b/thornladder/node/discovery/watch.py
@@ -7,13 +7,13 @@
 
 import anyio
 
-from thornladder import http1, messages
 from thornladder.fields import Malformed
-from thornladder.http1 import Failure, Line
 from thornladder.interface import ListKind
-from thornladder.messages import ListAnswer, Reply
+from thornladder.node import http1, messages
+from thornladder.node.http1 import Failure, Line
+from thornladder.node.messages import ListAnswer, Reply
+from thornladder.node.tasks import Tasks
 from thornladder.settings import Address
-from thornladder.tasks import Tasks
 
 
 class Watch:
--- a/thornladder/exchange.py
+++ b/thornladder/node/exchange.py
@@ -7,7 +7,7 @@
 import anyio
 
 from thornladder.interface import Invocation
-from thornladder.messages import Answer, Message
+from thornladder.node.messages import Answer, Message
 
 
 class Exchange:
--- a/thornladder/flow.py
+++ b/thornladder/node/flow.py
@@ -9,7 +9,7 @@
 import anyio
 from anyio.abc import SocketStream
 
-from thornladder import streams
+from thornladder.node import streams
 
 COST = 256 * 1024  # bytes that a flow is counted with: a part here, one in each transport, as much in h11
 KERNEL = 64 * 1024  # bytes that the kernel may hold of a flow on each side
--- a/thornladder/handover.py
+++ b/thornladder/node/handover.py
@@ -14,7 +14,7 @@
 from typing import Any, NamedTuple
 
 from thornladder.fields import Malformed, objects, parse, take
-from thornladder.maintenance import Mark
+from thornladder.node.maintenance import Mark
 
 FORM = 1  # of the files: another form is of another version, and counts as none
 MOST_FILE = 1024 * 1024  # bytes: more is no file of ours
--- a/thornladder/host.py
+++ b/thornladder/node/host.py
@@ -15,13 +15,13 @@
 import anyio
 
 from thornladder import decide
-from thornladder.backends.pushes import Pushes
-from thornladder.discovery.watch import Watch
-from thornladder.exchange import Exchange
 from thornladder.interface import ListKind, Outcome, Report, State
-from thornladder.maintenance import Maintenance, Mark
-from thornladder.messages import Answer, Ending, ListAnswer
-from thornladder.tasks import Tasks
+from thornladder.node.backends.pushes import Pushes
+from thornladder.node.discovery.watch import Watch
+from thornladder.node.exchange import Exchange
+from thornladder.node.maintenance import Maintenance, Mark
+from thornladder.node.messages import Answer, Ending, ListAnswer
+from thornladder.node.tasks import Tasks
 
 
 class Clock:
--- a/thornladder/http1.py
+++ b/thornladder/node/http1.py
@@ -11,11 +11,11 @@
 import h11
 from anyio.abc import SocketStream
 
-from thornladder import streams
-from thornladder.flow import COST, Flow, narrow
-from thornladder.messages import MOST_WHOLE, Message, Reply
+from thornladder.node import streams
+from thornladder.node.flow import COST, Flow, narrow
+from thornladder.node.messages import MOST_WHOLE, Message, Reply
+from thornladder.node.streams import BROKEN, Held, readable
 from thornladder.settings import Address
-from thornladder.streams import BROKEN, Held, readable
 
 
 class Stage(Enum):
--- a/thornladder/maintenance.py
+++ b/thornladder/node/maintenance.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from thornladder.interface import Entry, ListKind, State
-from thornladder.messages import ListAnswer
+from thornladder.node.messages import ListAnswer
 from thornladder.settings import Address
 
 
--- a/thornladder/messages.py
+++ b/thornladder/node/messages.py
@@ -12,7 +12,7 @@
 
 from thornladder import interface as api
 from thornladder.fields import Malformed, lookup, objects, optional, parse, take
-from thornladder.flow import Flow
+from thornladder.node.flow import Flow
 from thornladder.settings import Address, address, report
 
 MOST_WHOLE = 64 * 1024  # bytes: bodies up to here are kept whole, larger ones flow through
--- a/thornladder/operations.py
+++ b/thornladder/node/operations.py
@@ -5,10 +5,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from thornladder.admin.calls import Call, Name, Verdict, no
-from thornladder.clients.front import Front
-from thornladder.host import NodeHost
-from thornladder.maintenance import Mark
+from thornladder.node.admin.calls import Call, Name, Verdict, no
+from thornladder.node.clients.front import Front
+from thornladder.node.host import NodeHost
+from thornladder.node.maintenance import Mark
 
 
 class Operations:
--- a/thornladder/service.py
+++ b/thornladder/node/service.py
@@ -11,21 +11,21 @@
 from anyio.abc import TaskStatus
 
 from thornladder import settings
-from thornladder.admin.server import Admin
-from thornladder.backends.pool import Pool
-from thornladder.backends.pushes import Pushes
-from thornladder.clients.connection import Desk
-from thornladder.clients.front import Front
-from thornladder.discovery.watch import Watch
 from thornladder.fields import Malformed
-from thornladder.handover import Learned, Lessons, Marks, Phase, Places, Seen
-from thornladder.host import Clock, NodeHost
-from thornladder.maintenance import Maintenance
-from thornladder.messages import ListAnswer
-from thornladder.operations import Operations
+from thornladder.node.admin.server import Admin
+from thornladder.node.backends.pool import Pool
+from thornladder.node.backends.pushes import Pushes
+from thornladder.node.clients.connection import Desk
+from thornladder.node.clients.front import Front
+from thornladder.node.discovery.watch import Watch
+from thornladder.node.handover import Learned, Lessons, Marks, Phase, Places, Seen
+from thornladder.node.host import Clock, NodeHost
+from thornladder.node.maintenance import Maintenance
+from thornladder.node.messages import ListAnswer
+from thornladder.node.operations import Operations
+from thornladder.node.streams import Held
+from thornladder.node.tasks import Tasks
 from thornladder.settings import Config
-from thornladder.streams import Held
-from thornladder.tasks import Tasks
 
 SWEEP = 0.15  # seconds between looks at connections: a trickle that may take 2.6 s ends within 3
 SPARE = 24  # descriptors for all but connections of clients and to backends: a dozen, and as many to spare
