A seam for parts beside a node: the number of nodes, further operators' calls, a last word

They have to tell the module of how many nodes it is one, answer operators at the second address and say a last word, without the lean node importing any of them.

Ruled out: a second program that talks to the node over its second address (the count would be late and lost with it, and a node could not say that it ends); importing the parts where a file asks for them (then the lean node's imports hang on a file).

Change: node/companion.py (a protocol and what it is given), Handover.count over the settings' nodes, further calls by path in admin/ and operations.py, a last word of 0.2 s at a planned end. main() takes companions; python -m thornladder gives none.

--- a/thornladder/__main__.py
+++ b/thornladder/__main__.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+from collections.abc import Sequence
 
 import anyio
 import structlog
@@ -14,10 +15,12 @@
 from thornladder import settings
 from thornladder.fields import Malformed
 from thornladder.node import service
+from thornladder.node.companion import Companion
 from thornladder.node.messages import NO_LIST, decode_list
 
 
-def main() -> int:
+def main(companions: Sequence[Companion] = ()) -> int:
+    """Runs one node to its end; its exit code: 0 ended in order, 1 no address to be had, 2 a bad file."""
     # Kept back until the node heeds it: it would end a program that is still starting.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     path = os.environ.get("EDGE_CONFIG", "")
@@ -45,7 +48,7 @@
     gc.freeze()
     try:
         log = structlog.get_logger()
-        anyio.run(service.run, config, known, log, path, backend_options={"use_uvloop": True})
+        anyio.run(service.run, config, known, log, path, companions, backend_options={"use_uvloop": True})
     except OSError as error:
         print(f"thornladder: {error}", file=sys.stderr)
         return 1
--- a/thornladder/node/admin/calls.py
+++ b/thornladder/node/admin/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from enum import Enum
 from typing import Any, NamedTuple
 
@@ -22,14 +23,18 @@
     EXIT = "/maintenance/exit"
     STANDBY = "/standby"
     ACTIVE = "/active"
+    FURTHER = ""  # of a part beside the node, told apart by its path
 
 
-_PATHS = {name.value: name for name in Name}
+_PATHS = {name.value: name for name in Name if name is not Name.FURTHER}
+NOTHING: Mapping[str, bytes] = {}
 
 
 class Call(NamedTuple):
     name: Name
     backend: str = ""  # for maintenance alone
+    path: str = ""  # of a further call, and what came with it
+    body: bytes = b""
 
 
 class Verdict(NamedTuple):
@@ -46,7 +51,10 @@
 class Reader:
     """Takes in the bytes of one call, cut anywhere, until it is whole or known to be none."""
 
-    def __init__(self) -> None:
+    def __init__(self, further: Mapping[str, bytes] = NOTHING) -> None:
+        """`further`: the method of each call that a part beside the node answers, by path."""
+        self.further = further
+        self.path = ""
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_HEAD)
         self.request: h11.Request | None = None
         self.name = Name.STATUS  # of the call, once its head is read
@@ -86,13 +94,15 @@
         return self.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b""
 
     def _doubt(self, request: h11.Request) -> Verdict | None:
-        name = _PATHS.get(request.target.partition(b"?")[0].decode("latin-1"))
+        path = self.path = request.target.partition(b"?")[0].decode("latin-1")
+        name = _PATHS.get(path, Name.FURTHER if path in self.further else None)
         if name is None:
             return no(404, "no such call")
         self.name = name
-        wanted = (b"GET", b"HEAD") if name is Name.STATUS else (b"POST",)
+        reads = name is Name.STATUS or self.further.get(path) == b"GET"
+        wanted = (b"GET", b"HEAD") if reads else (b"POST",)
         if request.method not in wanted:
-            return no(405, f"{name.value} is {wanted[0].decode()}")
+            return no(405, f"{path} is {wanted[0].decode()}")
         names = [each for each, _ in request.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             return no(400, "Content-Length and Transfer-Encoding")
@@ -102,6 +112,8 @@
         return None
 
     def _whole(self) -> Call | Verdict:
+        if self.name is Name.FURTHER:
+            return Call(self.name, path=self.path, body=self.body)
         if self.name not in (Name.ENTER, Name.EXIT):
             return Call(self.name)
         try:
--- a/thornladder/node/admin/server.py
+++ b/thornladder/node/admin/server.py
@@ -3,20 +3,20 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import anyio
 
-from thornladder.node.admin.calls import Call, Reader, Verdict, no
+from thornladder.node.admin.calls import NOTHING, Call, Reader, Verdict, no
 from thornladder.node.tasks import Tasks
 
 
 class Caller:
     """One connection: one call and its answer."""
 
-    def __init__(self, raw: socket.socket) -> None:
-        self.raw, self.reader = raw, Reader()
+    def __init__(self, raw: socket.socket, further: Mapping[str, bytes]) -> None:
+        self.raw, self.reader = raw, Reader(further)
         self.scope = anyio.CancelScope()
 
 
@@ -26,8 +26,11 @@
     WHOLE = 2.0  # seconds for a call to come whole: a line or two over any network
     TAKEN = 1.0  # seconds for its answer to be taken
 
-    def __init__(self, act: Callable[[Call], Verdict], tasks: Tasks, log: Any) -> None:
-        """`act` carries a call out at once; it must not wait."""
+    def __init__(
+        self, act: Callable[[Call], Verdict], tasks: Tasks, log: Any, further: Mapping[str, bytes] = NOTHING
+    ) -> None:
+        """`act` carries a call out at once and must not wait; `further`: methods of more calls, by path."""
+        self.further = further
         self.act, self.tasks, self.log = act, tasks, log
         self.callers: dict[Caller, None] = {}  # the oldest first
 
@@ -45,7 +48,7 @@
             raw.setblocking(False)
             if len(self.callers) >= self.MOST:
                 self._make_room()
-            caller = Caller(raw)
+            caller = Caller(raw, self.further)
             self.callers[caller] = None
             # Its first bytes are mostly there: a node short of its core answers without another turn.
             self.tasks.start("a caller", self._serve, caller)
--- /dev/null
+++ b/thornladder/node/companion.py
@@ -0,0 +1,47 @@
+"""The seam for parts beside a node that know of other nodes: none of them under `python -m thornladder`.
+
+A companion decides nothing about invocations. It may tell the module of how many nodes it is one, and answer
+calls of operators; the node goes on serving whatever becomes of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, Protocol
+
+from thornladder.node.admin.calls import Call, Verdict
+from thornladder.node.tasks import Tasks
+from thornladder.settings import Address
+
+
+class Further(NamedTuple):
+    """A call at the second address that a companion answers, at once."""
+
+    method: bytes
+    act: Callable[[Call], Verdict]
+
+
+class Surroundings(NamedTuple):
+    """What a companion has of its node."""
+
+    name: str
+    seed: int
+    folder: str  # private to the node, shared by its processes
+    nodes: int  # as the settings say
+    admin: Address | None
+    tasks: Tasks
+    log: Any
+    set_nodes: Callable[[int], None]  # of how many nodes this is one, from now on
+
+
+class Companion(Protocol):
+    descriptors: int  # that it may hold at once
+
+    def calls(self) -> Mapping[str, Further]:
+        """By path."""
+
+    def start(self, around: Surroundings) -> None:
+        """Once, from within the node's event loop, before the node serves."""
+
+    async def leave(self, succeeded: bool) -> None:
+        """The node has answered all that it had and ends; `succeeded`: another process of it goes on."""
--- a/thornladder/node/operations.py
+++ b/thornladder/node/operations.py
@@ -2,23 +2,37 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from thornladder.node.admin.calls import Call, Name, Verdict, no
 from thornladder.node.clients.front import Front
+from thornladder.node.companion import Further
 from thornladder.node.host import NodeHost
 from thornladder.node.maintenance import Mark
 
+NOTHING: Mapping[str, Further] = {}
+
 
 class Operations:
     def __init__(
-        self, host: NodeHost, front: Front, keep: Callable[[dict[str, Mark]], None], log: Any
+        self,
+        host: NodeHost,
+        front: Front,
+        keep: Callable[[dict[str, Mark]], None],
+        log: Any,
+        further: Mapping[str, Further] = NOTHING,
     ) -> None:
-        """`keep` writes the marks of maintenance down; until it has, nothing is answered yes."""
+        """`keep` writes the marks of maintenance down; until it has, nothing is answered yes.
+
+        `further`: calls that parts beside the node answer, by path.
+        """
+        self.further = further
         self.host, self.front, self.keep, self.log = host, front, keep, log
 
     def __call__(self, call: Call) -> Verdict:
+        if call.name is Name.FURTHER:
+            return self.further[call.path].act(call)
         if call.name is Name.STATUS:
             return self.status()
         if call.name is Name.STANDBY:
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -4,7 +4,9 @@
 
 import signal
 import socket
+from collections.abc import Sequence
 from dataclasses import fields, replace
+from functools import partial
 from typing import Any, NamedTuple
 
 import anyio
@@ -17,6 +19,7 @@
 from thornladder.node.backends.pushes import Pushes
 from thornladder.node.clients.connection import Desk
 from thornladder.node.clients.front import Front
+from thornladder.node.companion import Companion, Surroundings
 from thornladder.node.discovery.watch import Watch
 from thornladder.node.handover import Learned, Lessons, Marks, Phase, Places, Seen
 from thornladder.node.host import Clock, NodeHost
@@ -27,6 +30,7 @@
 from thornladder.node.tasks import Tasks
 from thornladder.settings import Config
 
+LAST_WORD = 0.2  # seconds for a part beside the node to tell others: well within what an end may take
 SWEEP = 0.15  # seconds between looks at connections: a trickle that may take 2.6 s ends within 3
 SPARE = 24  # descriptors for all but connections of clients and to backends: a dozen, and as many to spare
 LARGE_BODIES = 4  # of the memory for large bodies on their way, a fixed cost each (`flow.COST`)
@@ -34,7 +38,9 @@
 CLIENTS = 0.6  # of the rest are for clients: an invocation holds one, and seldom more than one to a backend
 
 
-async def run(config: Config, known: ListAnswer, log: Any, path: str = "") -> None:
+async def run(
+    config: Config, known: ListAnswer, log: Any, path: str = "", companions: Sequence[Companion] = ()
+) -> None:
     """`path` names the file that the configuration came from, to be read again on SIGHUP."""
     clock = Clock()
     if config.inherited is None:
@@ -43,7 +49,7 @@
         listener = socket.socket(fileno=config.inherited)
         listener.setblocking(False)
     second = _listener(config.admin) if config.admin else None
-    kept = SPARE + (Admin.DESCRIPTORS if second else 0)
+    kept = SPARE + (Admin.DESCRIPTORS if second else 0) + sum(each.descriptors for each in companions)
     sockets = max(config.sockets - kept, 8)
     clients = round(CLIENTS * sockets)
     async with anyio.create_task_group() as group:
@@ -64,14 +70,22 @@
         desk = Desk(host, host.node.offerings, clock, held, lambda: host.lag.late, host.turns_away, log)
         asking = max(round(ASKING * config.sockets), 4)
         front = Front(desk, clients, tasks, config.inherited is not None, asking)
-        operations = Operations(host, front, handover.marks.add, log)
+        further = {path: call for each in companions for path, call in each.calls().items()}
+        operations = Operations(host, front, handover.marks.add, log, further)
         tasks.keep("a look at idle connections", _sweep, front, pushes)
         tasks.keep("the handover", handover.run, host, front, pool, held)
+        around = Surroundings(
+            config.name, config.seed, config.folder, config.decisions["nodes"], config.admin, tasks, log,
+            partial(handover.count, host),
+        )  # fmt: skip
+        for each in companions:
+            each.start(around)
         reload = Reload(path, config, Parts(host, desk, pushes, watch, handover), log)
-        await group.start(_heed_signals, front, reload, handover, tasks, log)
+        await group.start(_heed_signals, front, reload, handover, tasks, log, companions)
         tasks.start("opening the door", _open, front, host, handover, tasks, listener)
         if second:
-            tasks.keep("taking operators' calls", Admin(operations, tasks, log).run, second)
+            admin = Admin(operations, tasks, log, {path: call.method for path, call in further.items()})
+            tasks.keep("taking operators' calls", admin.run, second)
         log.info(
             "serving", name=config.name, listen=list(listener.getsockname()), backends=len(known.entries),
             cores=config.cores, sockets=config.sockets, admin=list(second.getsockname()) if second else None,
@@ -111,6 +125,7 @@
         self.beside: list[Seen] = []  # other processes of this node
         self.used = 0  # descriptors
         self.whole: tuple[int, int, int] | None = None  # of clients, to backends; bytes: of the whole node
+        self.nodes: int | None = None  # as counted; None: as the settings say
         self.serving = 1  # processes of it that take clients or have some, this one among them
 
     def begin(self, now: float) -> Maintenance:
@@ -148,7 +163,17 @@
 
     def retune(self, decisions: dict[str, Any], host: NodeHost) -> None:
         self.decisions = decisions
-        host.settle(decisions, self.serving)
+        self._settle(host)
+
+    def count(self, host: NodeHost, nodes: int) -> None:
+        """From now on this is one of so many nodes, whatever the settings say."""
+        if nodes != self.nodes:
+            self.nodes = nodes
+            self._settle(host)
+
+    def _settle(self, host: NodeHost) -> None:
+        counted = {} if self.nodes is None else {"nodes": self.nodes}
+        host.settle({**self.decisions, **counted}, self.serving)
 
     def look(self, host: NodeHost) -> None:
         self.places.take(self.phase, self.used)
@@ -160,7 +185,7 @@
         serving = 1 + sum(phase is not Phase.STARTING for phase in phases)
         if serving != self.serving:
             self.serving = serving
-            host.settle(self.decisions, serving)
+            self._settle(host)
         host.mark(self.marks.news())
         if self.phase is Phase.SERVING:
             # What it learns of the room beside another says little: the two share a core, and are late.
@@ -225,7 +250,14 @@
 
 
 async def _heed_signals(
-    front: Front, reload: Reload, handover: Handover, tasks: Tasks, log: Any, *, task_status: TaskStatus
+    front: Front,
+    reload: Reload,
+    handover: Handover,
+    tasks: Tasks,
+    log: Any,
+    companions: Sequence[Companion],
+    *,
+    task_status: TaskStatus,
 ) -> None:
     leaving = False
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -241,12 +273,15 @@
                 leaving = True
                 handover.leave(front)
                 log.info("leaving", signal=number.name)
-                tasks.start("leaving", _leave, front, tasks, log)
+                tasks.start("leaving", _leave, front, tasks, log, companions)
 
 
-async def _leave(front: Front, tasks: Tasks, log: Any) -> None:
+async def _leave(front: Front, tasks: Tasks, log: Any, companions: Sequence[Companion]) -> None:
     try:
         await front.leave()
+        for each in companions:
+            with anyio.move_on_after(LAST_WORD):
+                await each.leave(front.desk.succeeded)
         log.info("left")
     finally:
         tasks.end()
