Membership: a pure core with three ways to reach and two witnesses for a verdict, in virtual time

Failure detection has to bear pauses, lost messages and one-sided cuts.

A word withdrawn by vouching from what was heard before it was said: it held LOST back by up to 2 s.

Lived time stands still while the process was paused; LOST takes two witnesses and 6 to 7 s, ENDED two refusals by the kernel.

Failed first: a hair of floating point made a wake-up seem early for ever (EPSILON).

--- a/Makefile
+++ b/Makefile
@@ -10,10 +10,10 @@
 	.venv/bin/python -m pip -q install -r requirements.txt
 	cp requirements.txt $@
 
-.venv-dev/done: requirements.txt pyproject.toml
+.venv-dev/done: requirements.txt requirements-fleet.txt pyproject.toml
 	rm -rf .venv-dev
 	python3 -m venv .venv-dev
-	.venv-dev/bin/python -m pip -q install -r requirements.txt 'pytest>=8,<10' 'hypothesis>=6,<7' 'ruff>=0.6,<1'
+	.venv-dev/bin/python -m pip -q install -r requirements-fleet.txt 'pytest>=8,<10' 'hypothesis>=6,<7' 'ruff>=0.6,<1'
 	touch $@
 
 test: .venv-dev/done
--- /dev/null
+++ b/thornladder/membership/core.py
@@ -0,0 +1,717 @@
+"""Who is there, as one member finds out: messages and checks in, messages, checks and verdicts out. No I/O.
+
+A member pings one other each period, its successor on a ring and one of the shuffled rest in turn. What is
+not answered is asked for in three ways at once: a bare ping, a connection, and by way of others. Only then
+does it say a word (SILENT, REFUSED). A state follows from words of two witnesses: ENDED from two refusals at
+once, LOST from silence that lasts. The member itself refutes by a higher round, who hears it vouches for it.
+
+All times within are lived time: it stands still while this process was paused or short of its core, so that
+nothing runs out for others meanwhile. docs/membership.md weighs the sources: SWIM, Lifeguard, Rapid.
+"""
+
+from __future__ import annotations
+
+import bisect
+import math
+import zlib
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from random import Random
+from typing import NamedTuple
+
+from thornladder.membership.wire import MOST_DATAGRAM, VERSION, Item, Kind, Message, State, size
+
+NEVER = -math.inf
+WORDS = frozenset({State.SILENT, State.REFUSED, State.VOUCHED})
+OUT = frozenset({State.LOST, State.ENDED, State.LEFT})
+
+
+class Times(NamedTuple):
+    """Seconds. The limits they serve: a killed member known in 2, a silent one in 10, a pause of 5 borne."""
+
+    period: float = 0.25  # between pings; every member is pinged by its predecessor each second one
+    answer: float = 0.2  # for a ping, before other ways are tried: some hundred round trips of one building
+    whole: float = 1.0  # for all ways together, before a word is said
+    suspicion: float = 6.0  # silence after the first word before LOST, with three witnesses
+    slow: float = 1.0  # more with only two
+    late: float = 0.15  # of a timer: from there on the process itself was paused or short of its core
+    catch_up: float = 1.0  # after that, no word about others
+    alone: float = 2.0  # nobody heard for that long: this member is the one that is cut off
+    seek: float = 1.0  # between tries to reach who is lost, or a seed that is no member
+    sync: float = 1.0  # between whole views
+    remember: float = 600.0  # an ENDED or LEFT process, so that late words of it raise nobody
+
+
+FANOUT = 3  # members told at once of what is new; in a large fleet two, the rest rides on pings
+LARGE = 32  # members from which on it is two
+HELPERS = 3  # asked to ping for us: SWIM's k
+WITNESSES = 2
+CONFIRM = 4.0  # members that look for themselves at once when a first word comes, about
+EPSILON = 1e-6  # seconds
+SHOWN = 10.0  # seconds since it was last heard that a member is still shown as one that is
+MOST_SCORE = 4  # of Lifeguard's local health: waits grow to thrice theirs
+MOST_PEERS = 20_000  # records held at most, so that a mistaken fleet cannot fill the memory
+
+
+class Way(Enum):
+    """How a member is reached from here, as the last ping of it showed."""
+
+    UNKNOWN = "not tried yet"
+    DIRECT = "direct"
+    CONNECTION = "by connection alone"
+    THROUGH = "through others alone"
+    DEAF = "one-sided: I hear it, it does not hear me"
+    MUTE = "one-sided: it hears me, I do not hear it"
+    NONE = "by no way"
+
+
+class Send(NamedTuple):
+    address: str
+    message: Message
+
+
+class Check(NamedTuple):
+    """Connect and ask `message`; `Core.on_checked` is owed what came of it."""
+
+    address: str
+    message: Message
+
+
+class Sync(NamedTuple):
+    """Exchange whole views over a connection."""
+
+    address: str
+
+
+Act = Send | Check | Sync
+
+
+class Verdict(Enum):
+    """What a connection showed."""
+
+    REFUSED = "refused"  # by the kernel: no process is there
+    NOTHING = "nothing"  # no answer of any kind in time
+
+
+class Change(NamedTuple):
+    """For the log: `view` tells whether the set of members changed."""
+
+    name: str
+    what: str
+    witnesses: tuple[str, ...]
+    view: bool
+
+
+@dataclass(slots=True)
+class Peer:
+    """What this member holds of another."""
+
+    item: Item
+    since: float
+    heard: float = NEVER  # a datagram came straight from it
+    evidence: float = NEVER  # that it lives, of any kind
+    way: Way = Way.UNKNOWN
+    words: dict[str, State] = field(default_factory=dict)  # by witness
+    first: float = NEVER  # of those words
+    stamps: dict[str, int] = field(default_factory=dict)
+    vouched: float = NEVER
+    told: float = NEVER  # what stands against it, to itself
+
+    @property
+    def alive(self) -> bool:
+        return self.item.state == State.ALIVE
+
+
+@dataclass(slots=True)
+class Probe:
+    name: str
+    address: str
+    process: tuple[int, int]
+    began: float
+    ends: float
+    tries: float  # when other ways are taken; inf once they are
+    about: float | None = None  # by way of others: when it last heard us
+
+
+class Errand(NamedTuple):
+    """A ping made for another member."""
+
+    asker: str
+    address: str
+    number: int
+    until: float
+
+
+@dataclass(slots=True)
+class Counts:
+    dropped: int = 0  # messages of another fleet or from too many
+    accused: int = 0  # words that this member said
+    refuted: int = 0
+    late: int = 0  # times that it was paused or short of its core
+    views: int = 0  # changes of its view
+
+
+class Core:
+    def __init__(
+        self, name: str, address: str, fleet: str, seeds: Sequence[str], chance: Random, now: float,
+        zone: str = "", times: Times | None = None, facts: dict[str, str] | None = None,
+    ) -> None:  # fmt: skip
+        """`now`: seconds of any steady clock. `address`: where others reach this member."""
+        self.name, self.address, self.fleet, self.zone = name, address, fleet, zone
+        self.seeds = [seed for seed in seeds if seed != address]
+        self.chance, self.times = chance, times or Times()
+        self.facts = dict(facts or {})
+        self.start, self.birth, self.round = 1, chance.getrandbits(32), 0
+        self.offset = 0.0  # by which lived time is behind the clock
+        self.now = now
+        self.peers: dict[str, Peer] = {}
+        self.probes: dict[int, Probe] = {}
+        self.errands: dict[int, Errand] = {}
+        self.queue: dict[tuple[str, str], list] = {}  # [item, sends left] by member and witness
+        self.urgent: list[Item] = []
+        self.acts: list[Act] = []
+        self.changes: list[Change] = []
+        self.counts = Counts()
+        self.number = self.stamp = self.score = 0
+        self.began = now
+        self.next_tick = now + self.times.period * chance.random()
+        self.next_seek = now
+        self.quiet_until = now  # no words of this member before
+        self.heard_any = self.answered = now
+        self.changed = now
+        self.synced = NEVER
+        self.joined = False  # a whole view of another member was had
+        self.left = False
+        self.order: list[str] = []  # the shuffled rest, still to be pinged
+        self.turn = 0
+        self.ring: list[tuple[int, str]] = []
+        self.digest = 0  # of the view: differs where views do
+        self._count_in(self.me)
+
+    # What it is told.
+
+    @property
+    def due(self) -> float:
+        """When `wake` is owed, on the caller's clock."""
+        stages = (min(probe.tries, probe.ends) for probe in self.probes.values())
+        return min(self.next_tick, *stages, math.inf) + self.offset
+
+    def wake(self, now: float) -> None:
+        self._clock(now)
+        self.now += EPSILON  # lived time is a sum: what is due must not seem a hair too early, for ever
+        for number, probe in list(self.probes.items()):
+            if self.now >= probe.ends:
+                del self.probes[number]
+                self._failed(probe)
+            elif self.now >= probe.tries:
+                probe.tries = math.inf
+                self._other_ways(number, probe)
+        if self.now >= self.next_tick:
+            self.next_tick = self.now + self.times.period * (0.9 + 0.2 * self.chance.random())
+            self._tick()
+        self._flush()
+
+    def on_message(self, now: float, source: str, message: Message, by_connection: bool = False) -> None:
+        """`source`: where it came from, host:port; an answer goes there."""
+        self._clock(now)
+        if message.fleet != self.fleet or len(self.peers) >= MOST_PEERS:
+            self.counts.dropped += 1
+            return
+        for item in message.items:
+            self._take(item)
+        if message.name != self.name:
+            self._heard(message, source, by_connection)
+        if message.kind == Kind.PING:
+            if not by_connection:
+                self._answer(source, message)
+        elif message.kind == Kind.ACK:
+            self._acked(message, by_connection)
+        elif message.kind == Kind.ASK:
+            self._asked(message, source)
+        elif message.kind == Kind.TOLD:
+            self._told(message)
+        elif message.kind == Kind.VIEW:
+            self.joined, self.synced = True, self.now
+        self._flush()
+
+    def on_checked(self, now: float, number: int, verdict: Verdict) -> None:
+        """What became of a `Check`, other than the answer."""
+        self._clock(now)
+        probe = self.probes.get(number)
+        if probe is not None and verdict is Verdict.REFUSED:
+            del self.probes[number]
+            self._say(probe, State.REFUSED)
+        self._flush()
+
+    def answer(self, message: Message) -> Message:
+        """To one that came by a connection: the view to a view, else an ack."""
+        if message.kind == Kind.VIEW:
+            return self.view()
+        return self._message(Kind.ACK, number=message.number, target=message.name)
+
+    def view(self) -> Message:
+        return self._message(Kind.VIEW, items=[self.me, *(peer.item for peer in self.peers.values())])
+
+    def adopt(self, items: Sequence[Item]) -> None:
+        """Holds these from the start on, as one that joined long ago."""
+        for item in items:
+            if item.name != self.name:
+                self._record(item)
+        self.joined = True
+        self.changes.clear()
+
+    def leave(self, now: float) -> None:
+        """Says so; the caller sends what stands in `acts` and is done."""
+        self._clock(now)
+        self.left = True
+        gone = self.me
+        alive = self._alive()
+        for name in self.chance.sample(alive, min(len(alive), 2 * FANOUT + 2)):
+            self._send(self.peers[name].item.address, Kind.NEWS, items=[gone])
+
+    def take_acts(self) -> list[Act]:
+        acts, self.acts = self.acts, []
+        return acts
+
+    def take_changes(self) -> list[Change]:
+        changes, self.changes = self.changes, []
+        return changes
+
+    # What it holds.
+
+    @property
+    def me(self) -> Item:
+        state = State.LEFT if self.left else State.ALIVE
+        return Item(self.name, self.start, self.birth, self.round, state, self.address, self.zone,
+                    facts=self.facts)  # fmt: skip
+
+    @property
+    def members(self) -> list[str]:
+        """Of the view, this one among them."""
+        return sorted([self.name, *self._alive()])
+
+    @property
+    def alone(self) -> bool:
+        """Nobody answers: it may well be this member that is cut off, so it has no word on others."""
+        return len(self.ring) > 1 and self.now - self.answered > self.times.alone
+
+    @property
+    def deaf(self) -> bool:
+        """Nor is anybody heard."""
+        return self.alone and self.now - self.heard_any > self.times.alone
+
+    def set_facts(self, facts: dict[str, str]) -> None:
+        """New facts of this member are told like a refutation: by a higher round."""
+        if facts != self.facts:
+            self._count_out(self.me)
+            self.facts = dict(facts)
+            self.round += 1
+            self._count_in(self.me)
+            self._announce(self.me)
+
+    # Time.
+
+    def _clock(self, now: float) -> None:
+        late = now - self.due
+        if late > self.times.late:
+            # Guards against accusing all others after a pause, and against waits that ran out in it.
+            self.offset += late
+            self.counts.late += 1
+            self.quiet_until = now - self.offset + self.times.catch_up
+            self.score = min(self.score + 1, MOST_SCORE)
+        self.now = max(self.now, now - self.offset)
+
+    def _tick(self) -> None:
+        target = self._next()
+        if target is not None:
+            self._probe(target)
+        if self.now >= self.next_seek:
+            self.next_seek = self.now + self.times.seek
+            self._seek()
+        self._judge()
+        for number in [number for number, errand in self.errands.items() if self.now > errand.until]:
+            del self.errands[number]
+        old = self.now - self.times.remember
+        for name in [name for name, peer in self.peers.items() if peer.since < old and not peer.alive]:
+            if self.peers[name].item.state != State.LOST:
+                del self.peers[name]
+
+    def _next(self) -> str | None:
+        """Whom to ping: the successor on the ring, and the shuffled rest, in turn."""
+        self.turn += 1
+        if len(self.ring) < 2:
+            return None
+        if self.turn % 2:
+            mine = bisect.bisect_left(self.ring, (zlib.crc32(self.name.encode()), self.name))
+            return self.ring[(mine + 1) % len(self.ring)][1]
+        while True:
+            if not self.order:
+                self.order = self._alive()
+                self.chance.shuffle(self.order)
+            name = self.order.pop()
+            if name in self.peers and self.peers[name].alive:
+                return name
+
+    def _patience(self) -> float:
+        return 1.0 + 0.5 * self.score
+
+    def _probe(self, name: str) -> None:
+        peer = self.peers[name]
+        if any(probe.name == name for probe in self.probes.values()):
+            return
+        self.number += 1
+        patience = self._patience()
+        self.probes[self.number] = Probe(
+            name, peer.item.address, peer.item.process, self.now, self.now + self.times.whole * patience,
+            self.now + self.times.answer * patience,
+        )  # fmt: skip
+        self._send(peer.item.address, Kind.PING, number=self.number, target=name, items=self._riders())
+
+    def _other_ways(self, number: int, probe: Probe) -> None:
+        # Bare: guards against a link that drops large datagrams alone.
+        self._send(probe.address, Kind.PING, number=number, target=probe.name)
+        self.acts.append(Check(probe.address, self._message(Kind.PING, number=number, target=probe.name)))
+        helpers = [name for name in self._alive() if name != probe.name and not self.peers[name].words]
+        for name in self.chance.sample(helpers, min(HELPERS, len(helpers))):
+            self._send(self.peers[name].item.address, Kind.ASK, number=number, target=probe.name)
+
+    def _failed(self, probe: Probe) -> None:
+        peer = self.peers.get(probe.name)
+        if peer is None or peer.item.process != probe.process or not peer.alive:
+            return
+        if probe.about is not None:
+            return  # others reached it
+        deaf = peer.heard >= probe.began or (peer.way is Way.DEAF and self.now - peer.heard < SHOWN)
+        peer.way = Way.DEAF if deaf else Way.NONE
+        if peer.evidence < probe.began:
+            self._say(probe, State.SILENT)
+
+    def _say(self, probe: Probe, state: State) -> None:
+        peer = self.peers.get(probe.name)
+        if peer is None or peer.item.process != probe.process or not peer.alive:
+            return
+        if state is State.SILENT and (self.now < self.quiet_until or self.alone):
+            return
+        if peer.words.get(self.name) == state:
+            return
+        self.counts.accused += 1
+        self._word(self._stamped(peer.item, state))
+
+    def _stamped(self, item: Item, state: State) -> Item:
+        self.stamp += 1
+        return Item(item.name, item.start, item.birth, item.round, state, by=self.name, stamp=self.stamp)
+
+    def _judge(self) -> None:
+        """LOST: silence lasted, by two witnesses."""
+        if self.now < self.quiet_until or self.alone:
+            return
+        for peer in list(self.peers.values()):
+            if not peer.words or not peer.alive or len(peer.words) < WITNESSES:
+                continue
+            wait = self.times.suspicion + (self.times.slow if len(peer.words) == WITNESSES else 0.0)
+            if self.now - max(peer.first, peer.evidence) >= wait:
+                self._replace(peer, State.LOST)
+
+    def _replace(self, peer: Peer, state: State) -> None:
+        witnesses = ",".join(sorted(peer.words)[:4])
+        old = peer.item
+        self._record(Item(old.name, old.start, old.birth, old.round, state, old.address, old.zone, witnesses))
+
+    def _seek(self) -> None:
+        """One of those lost, or a seed that is no member: so that any cut heals without a person."""
+        lost = [peer for peer in self.peers.values() if peer.item.state == State.LOST]
+        known = {peer.item.address for peer in self.peers.values() if peer.alive}
+        seeds = [seed for seed in self.seeds if seed not in known]
+        if not self.joined or not known:
+            for seed in seeds:
+                self._send(seed, Kind.PING, items=[self.me])
+        elif seeds and self.chance.random() < 0.5:
+            self._send(self.chance.choice(seeds), Kind.PING, items=[self.me])
+        if lost:
+            peer = self.chance.choice(lost)
+            self._send(peer.item.address, Kind.PING, target=peer.item.name, items=[peer.item, self.me])
+
+    # What others say.
+
+    def _heard(self, message: Message, source: str, by_connection: bool) -> None:
+        peer = self.peers.get(message.name)
+        process = (message.start, message.birth)
+        if peer is None or process > peer.item.process:
+            self._sync_soon(message.address or source)
+            return
+        if process < peer.item.process:
+            self._tell(peer, source)
+            return
+        self.heard_any = self.now
+        if not by_connection:
+            peer.heard = self.now
+            if peer.way is Way.NONE:
+                peer.way = Way.DEAF
+        if not peer.alive:
+            self._tell(peer, source)
+            self._sync_soon(peer.item.address)
+            return
+        self._lives(peer)
+        if message.round > peer.item.round:
+            peer.words = {}  # it has refuted them
+        if message.digest != self.digest and message.kind != Kind.VIEW:
+            settled = self.now - self.changed > self.times.sync
+            due = self.now - self.synced > 10.0 * max(1.0, len(self.peers) / 100.0)
+            if settled or due:
+                self._sync_soon(peer.item.address)
+
+    def _lives(self, peer: Peer) -> None:
+        peer.evidence = self.now
+        if peer.words:
+            self._vouch(peer)
+            peer.words.pop(self.name, None)
+
+    def _sync_soon(self, address: str) -> None:
+        if self.now - self.synced > self.times.sync and address:
+            self.synced = self.now
+            self.acts.append(Sync(address))
+
+    def _tell(self, peer: Peer, address: str) -> None:
+        """What stands against a process, to itself: it refutes that, or is an old one and learns of it."""
+        if self.now - peer.told > 0.2:
+            peer.told = self.now
+            words = [Item(peer.item.name, peer.item.start, peer.item.birth, peer.item.round, state, by=by,
+                          stamp=peer.stamps.get(by, 0)) for by, state in peer.words.items()]  # fmt: skip
+            self._send(address, Kind.NEWS, items=[peer.item, *words[:3]])
+
+    def _vouch(self, peer: Peer) -> None:
+        if self.now - peer.vouched > 1.0 and State.SILENT in peer.words.values():
+            peer.vouched = self.now
+            self._word(self._stamped(peer.item, State.VOUCHED))
+
+    def _answer(self, source: str, message: Message) -> None:
+        about = -1.0
+        if message.target and message.target != self.name:
+            self._send(source, Kind.ACK, number=message.number, target=message.name)
+            return
+        asker = self.peers.get(message.behalf) if message.behalf else None
+        if asker is not None:
+            about = -1.0 if asker.heard == NEVER else self.now - asker.heard
+            self._send(asker.item.address, Kind.ECHO, target=asker.item.name)
+        peer = self.peers.get(message.name)
+        items = self._riders() if message.items else []
+        if peer is None or not peer.alive:
+            items = [self.me]
+        self._send(source, Kind.ACK, number=message.number, target=message.name, about=about, items=items)
+
+    def _acked(self, message: Message, by_connection: bool) -> None:
+        errand = self.errands.pop(message.number, None)
+        if errand is not None:
+            self._send(errand.address, Kind.TOLD, number=errand.number, target=message.name,
+                       about=message.about)  # fmt: skip
+        probe = self.probes.get(message.number)
+        if probe is None:
+            return
+        if message.name != probe.name:
+            # Guards against an address that another member took over: its old process cannot be there.
+            del self.probes[message.number]
+            self._say(probe, State.REFUSED)
+            return
+        peer = self.peers.get(probe.name)
+        if peer is None or (message.start, message.birth) != probe.process:
+            return
+        if by_connection:
+            self.answered = self.now
+            if probe.about is None:
+                peer.way = Way.CONNECTION
+                probe.about = 0.0
+            return
+        del self.probes[message.number]
+        self.answered = self.now
+        peer.way = Way.DIRECT
+        self.score = max(self.score - 1, 0)
+
+    def _asked(self, message: Message, source: str) -> None:
+        peer = self.peers.get(message.target)
+        if peer is None or not peer.alive:
+            return
+        self.number += 1
+        self.errands[self.number] = Errand(message.name, source, message.number, self.now + 2.0)
+        self._send(peer.item.address, Kind.PING, number=self.number, target=message.target,
+                   behalf=message.name)  # fmt: skip
+
+    def _told(self, message: Message) -> None:
+        probe = self.probes.get(message.number)
+        if probe is None or message.target != probe.name:
+            return
+        peer = self.peers[probe.name]
+        self._lives(peer)
+        self.answered = self.now
+        probe.about = message.about
+        hears_me = 0.0 <= message.about <= self.now - probe.began + 0.5
+        heard = peer.heard >= probe.began
+        if heard and not hears_me:
+            peer.way = Way.DEAF
+        elif hears_me and not heard:
+            peer.way = Way.MUTE
+        elif not hears_me and not heard:
+            peer.way = Way.THROUGH
+
+    def _take(self, item: Item) -> None:
+        if item.name == self.name:
+            self._about_me(item)
+        elif item.state in WORDS:
+            self._word(item)
+        elif item.state in OUT or item.state == State.ALIVE:
+            self._record(item)
+
+    def _about_me(self, item: Item) -> None:
+        mine = (self.start, self.birth)
+        if self.left:
+            return
+        if item.process > mine and item.state not in WORDS:
+            # An earlier process of this name, or another that took it: this one is newer from here on.
+            start, round = item.start + 1, 0
+        elif item.process == mine and item.round >= self.round and item.state not in (
+            State.ALIVE, State.VOUCHED
+        ):  # fmt: skip
+            start, round = self.start, item.round + 1
+        else:
+            return
+        self.counts.refuted += 1
+        self._count_out(self.me)
+        self.start, self.round = start, round
+        self._count_in(self.me)
+        self._announce(self.me)
+
+    def _record(self, item: Item) -> None:
+        peer = self.peers.get(item.name)
+        if peer is None:
+            self.peers[item.name] = peer = Peer(item, self.now)
+            peer.evidence = self.now
+            self._changed(peer, None)
+            self._announce(item)
+            return
+        if item.order <= peer.item.order:
+            return
+        if item.state == State.LOST and peer.alive and item.process == peer.item.process:
+            # Guards against a view that flaps when a cut heals: what the other side held is a word here.
+            lasted = self.now - peer.first >= 0.5 * self.times.suspicion
+            if not (len(peer.words) >= WITNESSES and lasted):
+                for by in item.by.split(","):
+                    self._accused(peer, by, State.SILENT)
+                self._tell_lost(peer, item)
+                return
+        before = peer.item
+        peer.item = item
+        if item.process != before.process:
+            peer.stamps, peer.way, peer.heard = {}, Way.UNKNOWN, NEVER
+        peer.words = {}
+        peer.evidence = self.now
+        peer.since = self.now if (item.state, item.process) != (before.state, before.process) else peer.since
+        self._changed(peer, before)
+        self._announce(item)
+
+    def _tell_lost(self, peer: Peer, item: Item) -> None:
+        if self.now - peer.told > 0.2:
+            peer.told = self.now
+            self._send(peer.item.address, Kind.NEWS, items=[item])
+
+    def _word(self, item: Item) -> None:
+        peer = self.peers.get(item.name)
+        if peer is None or not peer.alive or item.process != peer.item.process:
+            return
+        if item.round < peer.item.round or item.stamp <= peer.stamps.get(item.by, 0):
+            return
+        peer.stamps[item.by] = item.stamp
+        self._announce(item)
+        if item.state == State.VOUCHED:
+            peer.evidence = self.now
+            peer.words = {by: word for by, word in peer.words.items() if word is State.REFUSED}
+            return
+        first = not peer.words
+        self._accused(peer, item.by, State(item.state))
+        if sum(word is State.REFUSED for word in peer.words.values()) >= WITNESSES:
+            self._replace(peer, State.ENDED)
+            return
+        if first and item.by != self.name:
+            self._tell(peer, peer.item.address)
+            if self.chance.random() < CONFIRM / max(len(self.ring) - 2, 1):
+                self._look(item.name)
+
+    def _look(self, name: str) -> None:
+        """Sees for itself, by all ways at once."""
+        self._probe(name)
+        for probe in self.probes.values():
+            if probe.name == name and probe.tries != math.inf:
+                probe.tries = self.now
+
+    def _accused(self, peer: Peer, by: str, state: State) -> None:
+        if not peer.words:
+            peer.first = self.now
+            self.changes.append(Change(peer.item.name, "not heard of", (by,), False))
+        peer.words[by] = state
+
+    def _changed(self, peer: Peer, before: Item | None) -> None:
+        item = peer.item
+        was = before is not None and before.state == State.ALIVE
+        view = was != peer.alive
+        if view or (before is not None and before.process != item.process):
+            self.counts.views += view
+            self.changed = self.now
+            what = "alive" if peer.alive else State(item.state).name.lower()
+            witnesses = tuple(item.by.split(",")) if item.by else ()
+            self.changes.append(Change(item.name, what, witnesses, view))
+        if was:
+            self._count_out(before)
+        if peer.alive:
+            self._count_in(item)
+
+    def _count_in(self, item: Item) -> None:
+        bisect.insort(self.ring, (zlib.crc32(item.name.encode()), item.name))
+        self.digest ^= _sum(item)
+
+    def _count_out(self, item: Item) -> None:
+        del self.ring[bisect.bisect_left(self.ring, (zlib.crc32(item.name.encode()), item.name))]
+        self.digest ^= _sum(item)
+
+    # What it says.
+
+    def _alive(self) -> list[str]:
+        return [name for name, peer in self.peers.items() if peer.alive]
+
+    def _announce(self, item: Item) -> None:
+        if not self.joined and item.name != self.name:
+            return  # all is new to one that has just come, and to nobody else
+        sends = 2 + math.ceil(math.log2(len(self.ring) + 2))
+        self.queue[(item.name, item.by if item.state in WORDS else "")] = [item, sends]
+        self.urgent.append(item)
+
+    def _riders(self, room: int = MOST_DATAGRAM - 200) -> list[Item]:
+        """News that ride along, those told least often first."""
+        items: list[Item] = []
+        for key, entry in sorted(self.queue.items(), key=lambda each: -each[1][1])[:24]:
+            room -= size(entry[0])
+            if room < 0:
+                break
+            items.append(entry[0])
+            entry[1] -= 1
+            if entry[1] <= 0:
+                del self.queue[key]
+        return items
+
+    def _flush(self) -> None:
+        """What is new goes to a few at once."""
+        if not self.urgent:
+            return
+        news, self.urgent = self.urgent[-12:], []
+        alive = self._alive()
+        for name in self.chance.sample(alive, min(len(alive), FANOUT if len(alive) < LARGE else 2)):
+            self._send(self.peers[name].item.address, Kind.NEWS, items=news)
+
+    def _message(self, kind: Kind, number: int = 0, **fields: object) -> Message:
+        return Message(VERSION, self.fleet, kind, self.name, self.start, self.birth, self.round,
+                       number, digest=self.digest, address=self.address, **fields)  # fmt: skip
+
+    def _send(self, address: str, kind: Kind, number: int = 0, **fields: object) -> None:
+        self.acts.append(Send(address, self._message(kind, number=number, **fields)))
+
+
+def _sum(item: Item) -> int:
+    return zlib.crc32(f"{item.name} {item.start} {item.birth} {item.round}".encode())
--- /dev/null
+++ b/thornladder/rig/virtual.py
@@ -0,0 +1,260 @@
+"""Members in virtual time: the cores unchanged, on one heap of events, with the faults of the rig.
+
+The accountant here knows the true state and nothing of the cores' reasons. The same seed gives the same play.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import time
+from collections.abc import Callable, Iterable, Sequence
+from random import Random
+from typing import Any, NamedTuple, Protocol
+
+from thornladder.membership.core import Act, Check, Core, Send, Sync, Verdict
+from thornladder.membership.wire import Message, decode, encode
+from thornladder.rig.faults import Fault, Move, Weather, moves
+
+HEAD = 28  # bytes of UDP and IP round each datagram
+CONNECTION = 240  # bytes of a connection made and ended, about
+PATIENCE = 0.5  # seconds that a check waits for its answer
+LONGEST = 3.0  # seconds that a whole view may take
+
+
+class Member(Protocol):
+    """What the harness needs of a core, ours or a baseline."""
+
+    acts: list[Act]
+
+    @property
+    def due(self) -> float: ...
+    @property
+    def members(self) -> list[str]: ...
+    def wake(self, now: float) -> None: ...
+    def on_message(self, now: float, source: str, message: Message, by_connection: bool = False) -> None: ...
+    def take_acts(self) -> list[Act]: ...
+    def take_changes(self) -> list[Any]: ...
+
+
+class Told(NamedTuple):
+    """A change that one member took in."""
+
+    at: float
+    by: str
+    of: str
+    what: str
+    view: bool
+
+
+class Place:
+    """One name: its process, if one runs, and what waits for it while it is stopped."""
+
+    def __init__(self, name: str, address: str) -> None:
+        self.name, self.address = name, address
+        self.core: Any = None
+        self.starts = 0
+        self.stopped = False
+        self.waiting: list[tuple[Callable[..., None], tuple]] = []
+        self.bytes = self.messages = 0
+        self.cpu = 0.0
+
+
+Maker = Callable[[str, str, Sequence[str], Random, float], Any]
+
+
+def ours(name: str, address: str, seeds: Sequence[str], chance: Random, now: float) -> Core:
+    return Core(name, address, "fleet", seeds, chance, now)
+
+
+class World:
+    MOST_WAITING = 2000  # datagrams that the kernel keeps for a stopped process
+
+    def __init__(
+        self, names: Sequence[str], faults: Sequence[Fault], seed: int, make: Maker = ours,
+        seeds: int = 3, joined: bool = True, skew: dict[str, float] | None = None,
+    ) -> None:  # fmt: skip
+        """`joined`: all know all at the start. `skew`: by how much each one's clock is off, seconds."""
+        self.chance = Random(seed)
+        self.now = 0.0
+        self.make, self.skew = make, skew or {}
+        self.weather = Weather(faults)
+        self.places = {name: Place(name, f"10.0.{k // 250}.{k % 250}:7946") for k, name in enumerate(names)}
+        self.by_address = {place.address: place for place in self.places.values()}
+        self.seeds = [place.address for place in self.places.values()][:seeds]
+        self.heap: list[tuple[float, int, Callable[..., None], tuple]] = []
+        self.count = itertools.count()
+        self.told: list[Told] = []
+        self.checks: list[Callable[[World, Place], None]] = []
+        for name in names:
+            self.start(name)
+        if joined:
+            self.introduce()
+        for move in moves(faults, self.chance):
+            self.at(move.at, self._move, move)
+
+    def introduce(self) -> None:
+        """Every member holds the whole view, as after a long quiet time."""
+        items = [place.core.me for place in self.places.values()]
+        for place in self.places.values():
+            place.core.adopt(items)
+            place.core.take_changes()
+
+    # Events.
+
+    def at(self, when: float, what: Callable[..., None], *given: Any) -> None:
+        heapq.heappush(self.heap, (when, next(self.count), what, given))
+
+    def run(self, until: float) -> None:
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, what, given = heapq.heappop(self.heap)
+            what(*given)
+        self.now = until
+
+    def _clock(self, place: Place) -> float:
+        return self.now + self.skew.get(place.name, 0.0)
+
+    def start(self, name: str) -> None:
+        place = self.places[name]
+        if place.core is not None:
+            return
+        place.starts += 1
+        chance = Random(f"{name} {place.starts} {self.chance.random()}")
+        place.core = self.make(name, place.address, self.seeds, chance, self._clock(place))
+        place.stopped, place.waiting = False, []
+        self._wake_later(place)
+
+    def _wake_later(self, place: Place) -> None:
+        due = place.core.due - self.skew.get(place.name, 0.0)
+        self.at(max(due, self.now), self._wake, place, place.core)
+
+    def _wake(self, place: Place, core: Any) -> None:
+        if place.core is not core:
+            return
+        if place.stopped:
+            place.waiting.append((self._wake, (place, core)))
+            return
+        if core.due - self.skew.get(place.name, 0.0) <= self.now + 1e-9:
+            self._step(place, core.wake, self._clock(place))
+        self._wake_later(place)
+
+    def _step(self, place: Place, what: Callable[..., None], *given: Any) -> None:
+        began = time.perf_counter()
+        what(*given)
+        place.cpu += time.perf_counter() - began
+        core = place.core
+        for act in core.take_acts():
+            self._act(place, act)
+        for change in core.take_changes():
+            self.told.append(Told(self.now, place.name, change.name, change.what, change.view))
+        for check in self.checks:
+            check(self, place)
+
+    def _arrive(self, place: Place, source: str, data: bytes, by_connection: bool = False) -> None:
+        if place.core is None:
+            return
+        if place.stopped:
+            if len(place.waiting) < self.MOST_WAITING:
+                place.waiting.append((self._arrive, (place, source, data, by_connection)))
+            return
+        message = decode(data)
+        if message is not None:
+            due = place.core.due
+            self._step(place, place.core.on_message, self._clock(place), source, message, by_connection)
+            if place.core.due < due - 1e-9:
+                self._wake_later(place)
+
+    # What members do.
+
+    def _act(self, place: Place, act: Act) -> None:
+        target = self.by_address.get(act.address)
+        if isinstance(act, Send):
+            data = encode(act.message)
+            place.bytes += len(data) + HEAD
+            place.messages += 1
+            if target is not None:
+                self._send(place, target, data)
+        elif isinstance(act, Check):
+            self._check(place, target, act)
+        elif isinstance(act, Sync) and target is not None:
+            self._sync(place, target)
+
+    def _send(self, place: Place, target: Place, data: bytes) -> None:
+        for later in self.weather.passes(self.now, place.name, target.name, len(data), self.chance):
+            self.at(self.now + later, self._arrive, target, place.address, data)
+
+    def _there_and_back(self, a: Place, b: Place, size: int) -> float | None:
+        there = self.weather.carries(self.now, a.name, b.name, size, self.chance)
+        back = self.weather.carries(self.now, b.name, a.name, size, self.chance)
+        return None if there is None or back is None else there + back
+
+    def _check(self, place: Place, target: Place | None, act: Check) -> None:
+        place.bytes += CONNECTION
+        number = act.message.number
+        round_trip = self._there_and_back(place, target, 100) if target else None
+        if round_trip is None or round_trip > PATIENCE:
+            return
+        if target.core is None:
+            self.at(self.now + round_trip, self._checked, place, place.core, number)
+        elif not target.stopped:
+            answer = encode(target.core.answer(act.message))
+            self.at(self.now + round_trip, self._arrive, place, target.address, answer, True)
+
+    def _checked(self, place: Place, core: Any, number: int) -> None:
+        if place.core is core and not place.stopped:
+            self._step(place, core.on_checked, self._clock(place), number, Verdict.REFUSED)
+
+    def _sync(self, place: Place, target: Place) -> None:
+        view = place.core.view()
+        data = encode(view)
+        round_trip = self._there_and_back(place, target, min(len(data), 1400))
+        if round_trip is None or round_trip > LONGEST or target.core is None or target.stopped:
+            return
+        back = encode(target.core.answer(view))
+        place.bytes += len(data) + CONNECTION
+        target.bytes += len(back) + CONNECTION
+        self.at(self.now + round_trip / 2.0, self._arrive, target, place.address, data, True)
+        self.at(self.now + round_trip, self._arrive, place, target.address, back, True)
+
+    # What is done to them.
+
+    def _move(self, move: Move) -> None:
+        place = self.places[move.node]
+        if move.what == "start":
+            self.start(move.node)
+        elif place.core is None:
+            return
+        elif move.what == "stop":
+            place.stopped = True
+        elif move.what == "go" and place.stopped:
+            place.stopped = False
+            waiting, place.waiting = place.waiting, []
+            for what, given in waiting:
+                what(*given)
+        elif move.what in ("kill", "end"):
+            if move.what == "end" and not place.stopped:
+                place.core.leave(self._clock(place))
+                for act in place.core.take_acts():
+                    self._act(place, act)
+            place.core, place.stopped, place.waiting = None, False, []
+
+    # What is true.
+
+    @property
+    def running(self) -> list[str]:
+        return sorted(name for name, place in self.places.items() if place.core is not None)
+
+    def one_view(self, names: Iterable[str] | None = None) -> bool:
+        """Every running member holds exactly the running ones to be there."""
+        wanted = self.running if names is None else sorted(names)
+        return all(self.places[name].core.members == wanted for name in wanted)
+
+    def until_one_view(self, limit: float, step: float = 0.1) -> float:
+        """Seconds until all have one view and it is the true one; inf where that takes over `limit`."""
+        began = self.now
+        while not self.one_view():
+            if self.now - began >= limit:
+                return math.inf
+            self.run(self.now + step)
+        return self.now - began
