Membership on sockets beside a node, a rig of processes with faults between them, a command line

Ruled out: a relay that tells senders apart by ports (a connection's port is drawn by the kernel): each node has an address of its own in the loopback range instead. A relay that resets connections to the dead: only a refusal is the kernel's word, so its door closes with the process, which the rig hears of by pidfd.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # What a newcomer needs: build, test, lint, run.
 
-.PHONY: build test lint run clean
+.PHONY: build test lint run try measure-membership clean
 
 build: .venv/requirements.done
 
@@ -26,5 +26,13 @@
 run: build
 	exec .venv/bin/python -B -m thornladder
 
+# Four nodes, backends and clients for some 20 s: one node is killed, one paused, one link cut one way.
+try: .venv-dev/done
+	.venv-dev/bin/python -m thornladder.cli rig run experiments/try.toml
+
+# Ten minutes at most; FULL=1 for the long one. The last line is one JSON object.
+measure-membership: .venv-dev/done
+	.venv-dev/bin/python -m thornladder.measures.membership $(if $(FULL),--full)
+
 clean:
 	rm -rf .venv .venv-dev
--- /dev/null
+++ b/thornladder/membership/config.py
@@ -0,0 +1,42 @@
+"""A fleet's own file: without it a node knows no other and opens no socket for any."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from thornladder.fields import Malformed
+from thornladder.membership.wire import split_address
+
+
+class FleetConfig(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """TOML. Addresses are host:port, for datagrams and connections alike."""
+
+    fleet: str  # members of another fleet's name are passed over
+    listen: str
+    advertise: str = ""  # where others reach this member, if that is not `listen`
+    seeds: list[str] = []  # members to join by; any of them will do, and they may be down at the start
+    zone: str = ""
+    hold: float = 300.0  # seconds that a member counts on after it is lost: it may still be serving
+    lower_after: float = 5.0  # seconds that a lower number of nodes has to last before the node goes by it
+
+
+def load(path: str) -> FleetConfig:
+    """Raises Malformed with one line that names the field."""
+    try:
+        config = msgspec.toml.decode(Path(path).read_bytes(), type=FleetConfig)
+    except OSError as error:
+        raise Malformed(f"cannot be read: {error.strerror}") from None
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise Malformed(str(error).replace("\n", " ")) from None
+    for field, text in (("listen", config.listen), ("advertise", config.advertise or config.listen)):
+        if split_address(text) is None:
+            raise Malformed(f"{field}: {text!r} is not an address and port")
+    if bad := next((seed for seed in config.seeds if split_address(seed) is None), None):
+        raise Malformed(f"seeds: {bad!r} is not an address and port")
+    if not config.fleet:
+        raise Malformed("fleet must not be empty")
+    if config.hold < 0.0 or config.lower_after < 0.0:
+        raise Malformed("hold and lower_after must not be negative")
+    return config
--- /dev/null
+++ b/thornladder/rig/processes.py
@@ -0,0 +1,89 @@
+"""Nodes as processes by the ordinary command, each ended by its id whatever happens to the rig."""
+
+from __future__ import annotations
+
+import ctypes
+import json
+import os
+import signal
+import subprocess
+import sys
+import zlib
+from collections.abc import Iterator
+from contextlib import suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import anyio
+
+_libc = ctypes.CDLL(None, use_errno=True)
+PR_SET_PDEATHSIG = 1
+
+
+def _end_with_the_rig() -> None:
+    _libc.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+@dataclass
+class NodeProcess:
+    """One node: its files, and the process that runs it, if one does."""
+
+    name: str
+    folder: Path
+    config: dict[str, Any]
+    admin: str
+    fleet: dict[str, Any] | None  # of its own fleet file; None: it knows no other
+    process: subprocess.Popen | None = None
+    starts: int = 0
+    codes: list[int] = field(default_factory=list)  # exit codes of its processes so far
+    planned: bool = False  # the last end was asked for
+
+    @property
+    def log(self) -> Path:
+        return self.folder / "log"
+
+    def start(self) -> None:
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.starts += 1
+        self.planned = False
+        path = self.folder / "config.json"
+        seed = f"{self.starts:04x}{zlib.crc32(self.name.encode()):08x}"
+        path.write_text(json.dumps({**self.config, "seed": seed}))
+        command = [sys.executable, "-B", "-m", "thornladder"]
+        if self.fleet is not None:
+            lines = (f"{key} = {json.dumps(value)}\n" for key, value in self.fleet.items())
+            (self.folder / "fleet.toml").write_text("".join(lines))
+            command = [sys.executable, "-B", "-m", "thornladder.cli", "node"]
+            command += ["--fleet", str(self.folder / "fleet.toml")]
+        environment = {
+            **os.environ, "EDGE_CONFIG": str(path), "EDGE_ADMIN_ADDR": self.admin, "TMPDIR": str(self.folder),
+        }  # fmt: skip
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                command, env=environment, stderr=log, stdout=log, preexec_fn=_end_with_the_rig
+            )
+
+    async def ended(self) -> int:
+        """Waits for the end of the process that now runs; its exit code."""
+        descriptor = os.pidfd_open(self.process.pid)
+        try:
+            await anyio.wait_readable(descriptor)
+        finally:
+            os.close(descriptor)
+        code = self.process.wait()
+        self.codes.append(code)
+        self.process = None
+        return code
+
+    def signal(self, number: int) -> None:
+        if self.process is not None:
+            with suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    def lines(self) -> Iterator[dict[str, Any]]:
+        """Of its log, those that can be read."""
+        if self.log.exists():
+            for line in self.log.read_bytes().splitlines():
+                with suppress(ValueError):
+                    yield json.loads(line)
