--- a/thornladder/membership/companion.py
+++ b/thornladder/membership/companion.py
@@ -23,6 +23,7 @@
 
 LOOK = 0.1  # seconds between looks whether the other process of this node still is the member
 COUNT = 0.5  # seconds between looks at the number of nodes
+AGAIN = 1.0  # seconds until an address that could not be had is tried again
 LAST = 0.05  # seconds until what a leaving member says is surely on its way
 
 
@@ -75,7 +76,14 @@
             while (held := seat.take()) is None:
                 await anyio.sleep(LOOK)
             try:
-                await self._take_part()
+                while True:
+                    try:
+                        await self._take_part()
+                    except* OSError as group:
+                        # Another program has the address, or the last process of this node a moment longer.
+                        listen, why = self.config.listen, str(group.exceptions[0])
+                        self.log.warning("the fleet's address cannot be had", listen=listen, why=why)
+                    await anyio.sleep(AGAIN)
             finally:
                 os.close(held)
 
--- a/thornladder/membership/core.py
+++ b/thornladder/membership/core.py
@@ -47,7 +47,7 @@
 LARGE = 32  # members from which on it is two
 HELPERS = 3  # asked to ping for us: SWIM's k
 WITNESSES = 2
-CONFIRM = 4.0  # members that look for themselves at once when a first word comes, about
+MOST_WORDS = 3  # of silence kept for one member; the wait for LOST is the shortest from there on
 EPSILON = 1e-6  # seconds
 SHOWN = 10.0  # seconds since it was last heard that a member is still shown as one that is
 MOST_SCORE = 4  # of Lifeguard's local health: waits grow to thrice theirs
@@ -219,7 +219,7 @@
             self.counts.dropped += 1
             return
         for item in message.items:
-            self._take(item)
+            self._take(item, message.kind == Kind.WORD)
         if message.name != self.name:
             self._heard(message, source, by_connection)
         if message.kind == Kind.PING:
@@ -393,7 +393,11 @@
             return
         if state is State.SILENT and (self.now < self.quiet_until or self.alone):
             return
+        if state is State.SILENT and self._enough(peer, self.name):
+            return
         if peer.words.get(self.name) == state:
+            if len(peer.words) < WITNESSES:
+                self._ask_others(peer, self._said(peer, self.name, state))
             return
         self.counts.accused += 1
         self._word(self._stamped(peer.item, state))
@@ -476,8 +480,7 @@
         """What stands against a process, to itself: it refutes that, or is an old one and learns of it."""
         if self.now - peer.told > 0.2:
             peer.told = self.now
-            words = [Item(peer.item.name, peer.item.start, peer.item.birth, peer.item.round, state, by=by,
-                          stamp=peer.stamps.get(by, 0)) for by, state in peer.words.items()]  # fmt: skip
+            words = [self._said(peer, by, state) for by, state in peer.words.items()]
             self._send(address, Kind.NEWS, items=[peer.item, *words[:3]])
 
     def _vouch(self, peer: Peer) -> None:
@@ -553,18 +556,23 @@
         elif not hears_me and not heard:
             peer.way = Way.THROUGH
 
-    def _take(self, item: Item) -> None:
+    def _take(self, item: Item, narrow: bool) -> None:
         if item.name == self.name:
-            self._about_me(item)
+            self._about_me(item, narrow)
         elif item.state in WORDS:
-            self._word(item)
+            self._word(item, narrow)
         elif item.state in OUT or item.state == State.ALIVE:
             self._record(item)
 
-    def _about_me(self, item: Item) -> None:
+    def _about_me(self, item: Item, narrow: bool = False) -> None:
         mine = (self.start, self.birth)
         if self.left:
             return
+        if narrow and item.process == mine and item.by in self.peers:
+            # Only its witness holds that word: to be heard there is enough, the fleet hears nothing of it.
+            self.counts.refuted += 1
+            self._send(self.peers[item.by].item.address, Kind.NEWS, items=[self.me])
+            return
         if item.process > mine and item.state not in WORDS:
             # An earlier process of this name, or another that took it: this one is newer from here on.
             start, round = item.start + 1, 0
@@ -613,27 +621,57 @@
             peer.told = self.now
             self._send(peer.item.address, Kind.NEWS, items=[item])
 
-    def _word(self, item: Item) -> None:
+    def _word(self, item: Item, narrow: bool = False) -> None:
+        """What one witness says. Alone it goes to the member itself and to a few, who see for themselves.
+
+        Guards against a fleet that talks of nothing but words where a third of all messages is lost.
+        """
         peer = self.peers.get(item.name)
         if peer is None or not peer.alive or item.process != peer.item.process:
             return
         if item.round < peer.item.round or item.stamp <= peer.stamps.get(item.by, 0):
             return
+        if item.state == State.SILENT and self._enough(peer, item.by):
+            return
         peer.stamps[item.by] = item.stamp
-        self._announce(item)
         if item.state == State.VOUCHED:
             peer.evidence = self.now
+            if len(peer.words) >= WITNESSES or not narrow:
+                self._announce(item)
             peer.words = {by: word for by, word in peer.words.items() if word is State.REFUSED}
             return
         first = not peer.words
         self._accused(peer, item.by, State(item.state))
         if sum(word is State.REFUSED for word in peer.words.values()) >= WITNESSES:
             self._replace(peer, State.ENDED)
-            return
-        if first and item.by != self.name:
+        elif len(peer.words) >= WITNESSES:
+            for by, state in peer.words.items():
+                self._announce(self._said(peer, by, state))
+        elif item.by == self.name:
+            self._ask_others(peer, item)
+        elif narrow:
+            self._look(item.name)
+        if first and not narrow and item.by != self.name and peer.alive:
             self._tell(peer, peer.item.address)
-            if self.chance.random() < CONFIRM / max(len(self.ring) - 2, 1):
-                self._look(item.name)
+
+    @staticmethod
+    def _enough(peer: Peer, by: str) -> bool:
+        """More words add nothing. Guards against half of a cut fleet that talks of each of the other half."""
+        return by not in peer.words and len(peer.words) >= MOST_WORDS
+
+    def _ask_others(self, peer: Peer, item: Item) -> None:
+        """To see for themselves: a few, among them the one last heard, since a cut may hide most others."""
+        few = [each for each in self.peers.values() if each.alive and not each.words]
+        chosen = self.chance.sample(few, min(len(few), FANOUT - 1)) + [peer]
+        if few and (last := max(few, key=lambda each: each.heard)) not in chosen:
+            chosen.append(last)
+        for each in chosen:
+            self._send(each.item.address, Kind.WORD, items=[item])
+
+    @staticmethod
+    def _said(peer: Peer, by: str, state: State) -> Item:
+        item = peer.item
+        return Item(item.name, item.start, item.birth, item.round, state, by=by, stamp=peer.stamps.get(by, 0))
 
     def _look(self, name: str) -> None:
         """Sees for itself, by all ways at once."""
@@ -714,4 +752,5 @@
 
 
 def _sum(item: Item) -> int:
-    return zlib.crc32(f"{item.name} {item.start} {item.birth} {item.round}".encode())
+    # Without the round: it is raised for a few, and the rest need not know.
+    return zlib.crc32(f"{item.name} {item.start} {item.birth}".encode())
--- a/thornladder/membership/wire.py
+++ b/thornladder/membership/wire.py
@@ -23,6 +23,7 @@
     ECHO = 5  # to one that asks for me by way of others: do you hear me?
     NEWS = 6  # items alone
     VIEW = 7  # all that I hold; over a connection, answered by the same
+    WORD = 8  # a word that no second witness has joined yet: see for yourself
 
 
 class State(IntEnum):
