--- a/thornladder/rig/virtual.py
+++ b/thornladder/rig/virtual.py
@@ -57,6 +57,7 @@
         self.starts = 0
         self.stopped = False
         self.waiting: list[tuple[Callable[..., None], tuple]] = []
+        self.wakes = 0  # tells the wake-up that is due from those it took the place of
         self.bytes = self.messages = 0
         self.cpu = 0.0
 
@@ -127,13 +128,15 @@
 
     def _wake_later(self, place: Place) -> None:
         due = place.core.due - self.skew.get(place.name, 0.0)
-        self.at(max(due, self.now), self._wake, place, place.core)
+        place.wakes += 1
+        self.at(max(due, self.now), self._wake, place, place.core, place.wakes)
 
-    def _wake(self, place: Place, core: Any) -> None:
-        if place.core is not core:
+    def _wake(self, place: Place, core: Any, number: int) -> None:
+        # Guards against wake-ups that multiply: one that came in its place has the higher number.
+        if place.core is not core or number != place.wakes:
             return
         if place.stopped:
-            place.waiting.append((self._wake, (place, core)))
+            place.waiting.append((self._wake, (place, core, number)))
             return
         if core.due - self.skew.get(place.name, 0.0) <= self.now + 1e-9:
             self._step(place, core.wake, self._clock(place))
