States ride before words, and refuted words leave the queue

Cause, read off the code and the figures: some 200 words and 66 refutations share 18 places a message, those told least often first, so that a refutation waits behind words (Core._riders, Core._flush).

Change: states before words; a state of a higher order drops the words of the member that wait to be sent.

--- a/thornladder/membership/core.py
+++ b/thornladder/membership/core.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import bisect
+import heapq
 import math
 import zlib
 from collections.abc import Sequence
@@ -47,6 +48,7 @@
 LARGE = 32  # members from which on it is two
 HELPERS = 3  # asked to ping for us: SWIM's k
 WITNESSES = 2
+MOST_RIDERS = 24  # items in one message; some 20 fit
 MOST_WORDS = 3  # of silence kept for one member; the wait for LOST is the shortest from there on
 EPSILON = 1e-6  # seconds
 SHOWN = 10.0  # seconds since it was last heard that a member is still shown as one that is
@@ -608,6 +610,8 @@
                 return
         before = peer.item
         peer.item = item
+        for by in peer.stamps:
+            self.queue.pop((item.name, by), None)
         if item.process != before.process:
             peer.stamps, peer.way, peer.heard = {}, Way.UNKNOWN, NEVER
         peer.words = {}
@@ -722,9 +726,12 @@
         self.urgent.append(item)
 
     def _riders(self, room: int = MOST_DATAGRAM - 200) -> list[Item]:
-        """News that ride along, those told least often first."""
+        """News that ride along: states before words, then those told least often.
+
+        Guards against refutations that wait behind the words that they refute.
+        """
         items: list[Item] = []
-        for key, entry in sorted(self.queue.items(), key=lambda each: -each[1][1])[:24]:
+        for key, entry in heapq.nsmallest(MOST_RIDERS, self.queue.items(), key=_rank):
             room -= size(entry[0])
             if room < 0:
                 break
@@ -738,7 +745,7 @@
         """What is new goes to a few at once."""
         if not self.urgent:
             return
-        news, self.urgent = self.urgent[-12:], []
+        news, self.urgent = sorted(self.urgent, key=lambda item: item.state in WORDS)[:12], []
         alive = self._alive()
         for name in self.chance.sample(alive, min(len(alive), FANOUT if len(alive) < LARGE else 2)):
             self._send(self.peers[name].item.address, Kind.NEWS, items=news)
@@ -751,6 +758,10 @@
         self.acts.append(Send(address, self._message(kind, number=number, **fields)))
 
 
+def _rank(entry: tuple[tuple[str, str], list]) -> tuple[bool, int]:
+    return (bool(entry[0][1]), -entry[1][1])
+
+
 def _sum(item: Item) -> int:
     # Without the round: it is raised for a few, and the rest need not know.
     return zlib.crc32(f"{item.name} {item.start} {item.birth}".encode())
