One outbox serves the core of membership and its baseline

Need: on rereading, take_acts and take_changes stood twice, in core.py and in baselines.py, and Core kept a start time that nothing read.

Change: Outbox holds both; behaviour as it was. Left as it is: Core._tell and Core._tell_lost share a rate limit and differ in what they send.

--- a/thornladder/membership/baselines.py
+++ b/thornladder/membership/baselines.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from thornladder.membership.core import Act, Change, Core, Counts, Peer, Probe, Send, Times
+from thornladder.membership.core import Change, Core, Counts, Outbox, Peer, Probe, Send, Times
 from thornladder.membership.wire import VERSION, Item, Kind, Message, State
 
 
@@ -31,7 +31,7 @@
         super()._record(item)
 
 
-class Heartbeats:
+class Heartbeats(Outbox):
     """All to all, once a second; who was not heard for the time-out is removed."""
 
     PERIOD, TIME_OUT = 1.0, 3.0
@@ -40,8 +40,7 @@
         self.name, self.address, self.seeds = name, address, seeds
         self.now = self.next = now
         self.peers: dict[str, Peer] = {}
-        self.acts: list[Act] = []
-        self.changes: list[Change] = []
+        super().__init__()
         self.counts = Counts()
         self.start, self.birth = 1, chance.getrandbits(32)
 
@@ -85,14 +84,6 @@
             if not peer.alive:
                 self._set(peer, State.ALIVE)
 
-    def take_acts(self) -> list[Act]:
-        acts, self.acts = self.acts, []
-        return acts
-
-    def take_changes(self) -> list[Change]:
-        changes, self.changes = self.changes, []
-        return changes
-
 
 def heartbeats(name: str, address: str, seeds: Sequence[str], chance: Random, now: float) -> Heartbeats:
     return Heartbeats(name, address, seeds, chance, now)
--- a/thornladder/membership/core.py
+++ b/thornladder/membership/core.py
@@ -154,7 +154,23 @@
     views: int = 0  # changes of its view
 
 
-class Core:
+class Outbox:
+    """What a core wants done, and what changed for it, until its host takes them."""
+
+    def __init__(self) -> None:
+        self.acts: list[Act] = []
+        self.changes: list[Change] = []
+
+    def take_acts(self) -> list[Act]:
+        acts, self.acts = self.acts, []
+        return acts
+
+    def take_changes(self) -> list[Change]:
+        changes, self.changes = self.changes, []
+        return changes
+
+
+class Core(Outbox):
     def __init__(
         self, name: str, address: str, fleet: str, seeds: Sequence[str], chance: Random, now: float,
         zone: str = "", times: Times | None = None, facts: dict[str, str] | None = None,
@@ -172,11 +188,9 @@
         self.errands: dict[int, Errand] = {}
         self.queue: dict[tuple[str, str], list] = {}  # [item, sends left] by member and witness
         self.urgent: list[Item] = []
-        self.acts: list[Act] = []
-        self.changes: list[Change] = []
+        super().__init__()
         self.counts = Counts()
         self.number = self.stamp = self.score = 0
-        self.began = now
         self.next_tick = now + self.times.period * chance.random()
         self.next_seek = now
         self.quiet_until = now  # no words of this member before
@@ -272,14 +286,6 @@
         for name in self.chance.sample(alive, min(len(alive), 2 * FANOUT + 2)):
             self._send(self.peers[name].item.address, Kind.NEWS, items=[gone])
 
-    def take_acts(self) -> list[Act]:
-        acts, self.acts = self.acts, []
-        return acts
-
-    def take_changes(self) -> list[Change]:
-        changes, self.changes = self.changes, []
-        return changes
-
     # What it holds.
 
     @property
