A silent watch is found within 2.8 s and the node is blind by the terms' six seconds

Measured, with a patience of 60 s and waits of 5, 8, 20 s: told at 7.03, 10.02, 22.02, that is wait + 2 s. Ruled out: the push path (all pushes were decided before the node's own news of the drain), the module's pick, the drain's grace, the price of more calls (with waits of 0.5 s on six and on 200 nodes each renewal was answered in its time, 0.501 s apart: a watch that goes on does not queue). Change: a call waits 0.75 s and is given up after 2.75 s; the chain to the new watch's answer adds up to 5.95 s beside the constants. `Watch.told_by` says when what may have been missed counts as told; a silence does not begin anew with a call, a move by SIGHUP is no answer (four seconds). The module is deemed told from then on and pushes nothing; a push that waited for its connection is looked at again on writing, and no part of the drain's grace is used up. Lists that are pushed are asked for again within 0.4 s.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -422,3 +422,20 @@
     assert len(tried) > 200, "each node tries again"
     most = max(sum(when <= other < when + 0.1 for other in tried) for when in tried)
     assert most < 60, "under a third in a tenth of a second, though all lost it at the same moment"
+
+
+@pytest.mark.parametrize("asked", [True, False])
+def test_a_node_whose_watch_was_silent_pushes_nothing_from_when_it_is_deemed_told(asked: bool) -> None:
+    # Pushes went to backends that had begun to drain while the watch was silent (calm+brink+mass).
+    bench = Bench()
+    bench.node.must_ask_in = 10.0 if asked else float("inf")
+    bench.list([entry(number) for number in range(4)])
+    bench.node.on_list(bench.now, ListKind.UNAVAILABLE, [], bench.now + 2.0)
+    bench.advance(1.9)
+    assert bench.come("a").pushes
+    bench.node.on_list(bench.now, ListKind.UNAVAILABLE, [], bench.now + 0.1)
+    bench.advance(0.11)  # a call that fails, or a new one, does not begin the silence anew
+    bench.node.on_timer(bench.now, "watch")
+    assert bench.come("b").final == "nacked" and not bench.accounts["b"].pushes
+    bench.list([entry(number) for number in range(4)])
+    assert bench.come("c").pushes
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -8,7 +8,7 @@
 
 from collections import defaultdict, deque
 from collections.abc import Callable
-from math import ceil, exp, floor, log
+from math import ceil, exp, floor, inf, log
 from random import Random
 
 from thornladder import interface as api
@@ -265,7 +265,7 @@
         self.open: dict[tuple[str, int], Push] = {}
         self.work, self.answered = 0.0, 0.0  # expected cost of what is in flight; its last sign of life
         self.pace = Pace(Health.MEMORY)
-        self.busy, self.busy_at = 0.0, -float("inf")  # its cores, by the last answer that told
+        self.busy, self.busy_at = 0.0, -inf  # its cores, by the last answer that told
         self.fine, self.erred, self.broke = (Fading(Health.MEMORY) for _ in range(3))
         # No connection was made since the last completed push; signs of a dead process since; the last one.
         self.refused, self.signs, self.sign_at = False, 0, 0.0
@@ -273,7 +273,7 @@
         self.cause = ""  # why it is ejected; empty if it is not
         self.since, self.until, self.strikes, self.trial = 0.0, 0.0, 0, False
         self.cold: deque[tuple[float, float]] = deque()  # pushes while ramping: when, and expected cost
-        self.others, self.told = 0.0, -float("inf")  # what other nodes had out there, as of the last report
+        self.others, self.told = 0.0, -inf  # what other nodes had out there, as of the last report
         self.failing, self.asked = "", None  # why its last report has it ejected; since when a probe is out
 
     def put(self, live: Live, push: Push) -> None:
@@ -561,7 +561,7 @@
         self.came_of: defaultdict[str, float] = defaultdict(float)  # invocations, to each offering
         self.shares: dict[str, tuple[float, float]] = {}  # what each tenant has left, and as of when
         self.best, self.fair = 0.0, 0.0  # the most utility for a second of work lately; this node's backends
-        self.room = float("inf")  # how many pushes this node may have out; may be under one
+        self.room = inf  # how many pushes this node may have out; may be under one
         self.arrivals, self.span = Fading(self.LONGEST), self.LONGEST
         self.ends, self.lates = Fading(self.span), Fading(self.span)
         self.borne = Mean(30.0)  # pushes out for each backend while few are late
@@ -578,8 +578,8 @@
 
     def sized(self, fair: float, now: float) -> None:
         """This node's part of the backends, its room with it; a trickle makes it look back further."""
-        if self.uneven or self.room == float("inf"):
-            self.room = self.room * fair / self.fair if self.fair else self.first * fair or float("inf")
+        if self.uneven or self.room == inf:
+            self.room = self.room * fair / self.fair if self.fair else self.first * fair or inf
         self.fair = fair
         self.span = min(self.FEW / max(self.rate(now), 1e-6), self.LONGEST)
         self.ends.span = self.lates.span = max(self.span, 0.5)
@@ -735,15 +735,16 @@
         self.admission.first = min(room, Admission.MOST_ROOM) or self.admission.first
         self.asks, self.out, self.began = 0.0, 0, now  # probes that may be sent; pushes out and not overdue
         host.set_timer(self.INTERVAL * self.chance.random(), "interval")
-        self.sweeping, self.watch_wait, self.blind_at = False, 0.0, float("inf")  # then: deemed told
-        if self.must_ask_in < float("inf"):
+        self.sweeping, self.watch_wait = False, 0.0
+        self.blind_at = self.deaf_at = inf  # then: deemed told; deaf: by a silence, as its host reckons
+        if self.must_ask_in < inf:
             self._watch(now)
 
     def on_settings(self, now: float, **settings: object) -> None:
         """From now on these hold. What was learned stays; what is in hand keeps the offering it came with."""
         given = api.Given(**settings)
         self.zone, self.part.rank, self.nodes = given.zone, given.rank, given.nodes
-        self.limits, self.cold, self.must_ask_in = given.limits, given.cold, given.must_ask_in or float("inf")
+        self.limits, self.cold, self.must_ask_in = given.limits, given.cold, given.must_ask_in or inf
         self.offerings = {offering.name: offering for offering in given.offerings}
         self.ramp = self.roster.ramp = Ramp(self.cold.warm_up, self.cold.share)
         self.budget = self.budget.under(self.limits.further or Retries.BUDGET, now)
@@ -754,16 +755,17 @@
         self.core.aim = Core.AIM * min(offering.target_time for offering in given.offerings)
         self.health.first = self.health.first if self.health.first[0] else (self.core.aim / Core.AIM, now)
 
-    def on_list(self, now: float, kind: ListKind, entries: list[Entry]) -> None:
+    def on_list(self, now: float, kind: ListKind, entries: list[Entry], deaf_at: float = inf) -> None:
         if kind is ListKind.UNAVAILABLE:
             # Spread out, or all nodes call a struggling list service in step; always well before MustAskIn.
-            self.watch_wait = min(max(2.0 * self.watch_wait, 0.25), 2.0, self.must_ask_in / 4.0)
+            most = min(2.0, self.must_ask_in / 4.0) if self.must_ask_in < inf else 0.25  # told at its return
+            self.watch_wait, self.deaf_at = min(max(2.0 * self.watch_wait, 0.25), most), deaf_at
             self.host.set_timer(self.watch_wait * (0.5 + self.chance.random()), "watch")
             # A watch that breaks off leaves MustAskIn; a failed call four times that from when it was made.
-            self.blind_at = now + self.must_ask_in * (1.0 if self.blind_at == float("inf") else 3.0)
+            self.blind_at = min(now + self.must_ask_in * (1.0 if self.blind_at == inf else 3.0), deaf_at)
             return
         if kind is not ListKind.RESTORED:
-            self.watch_wait, self.blind_at = 0.0, float("inf")
+            self.watch_wait, self.blind_at, self.deaf_at = 0.0, inf, inf
         self.roster.on_list(kind, entries, now)
         self._rebuild(now)
 
@@ -789,8 +791,7 @@
 
     def on_whole(self, now: float, id: str, time_left: float) -> None:
         """The last byte of one that flows has come: its time begins, and its push is under way."""
-        live = self.live.get(id)
-        if live is not None and live.open:
+        if (live := self.live.get(id)) is not None and live.open:
             live.cut_off, push = now + time_left, live.pushes[-1]
             push.sent = now
             self.health.view(push.backend).put(live, push)
@@ -841,11 +842,10 @@
     def on_answer_started(self, now: float, id: str, number: int) -> None:
         """From here on the push is the client's: it is neither looked at nor moved."""
         if id in self.live:
-            self.live[id].look_at = float("inf")
+            self.live[id].look_at = inf
 
     def on_client_gone(self, now: float, id: str) -> None:
-        live = self.live.get(id)
-        if live is not None:
+        if (live := self.live.get(id)) is not None:
             live.answered = True
             self._cancel_rest(live)
             self._forget(live)
@@ -920,7 +920,7 @@
         return part * self.cold.span >= cost or self.chance.random() * cost * often < part
 
     def _watch(self, now: float) -> None:
-        self.blind_at = now + self.must_ask_in
+        self.blind_at = min(now + self.must_ask_in, self.deaf_at)
         self.host.watch_list()
 
     def _push(self, live: Live, backend: Backend | None, now: float) -> None:
--- a/thornladder/node/backends/pushes.py
+++ b/thornladder/node/backends/pushes.py
@@ -28,6 +28,9 @@
 
     def probe_ended(self, backend: str, outcome: Outcome, report: Report) -> None: ...
 
+    @property
+    def told_by(self) -> float: ...
+
 
 def outcome_of(result: Reply | Failure) -> Outcome:
     """What is known of a push by how far it had come. Only what surely never ran is called so."""
@@ -192,10 +195,14 @@
         return result
 
     def _too_late(self, backend: str) -> bool:
-        """A push that has not begun when the drain's grace ends is not begun any more."""
-        since = self.leaving.get(backend)
-        late = since is not None and self.clock() - since > self.grace - self.DRAIN_MARGIN
-        return late and self._binds(backend)
+        """Whether what was decided while the backend ran is not to be begun any more.
+
+        Guards against pushes that waited for a connection: a drain or a silent watch may have overtaken them,
+        and how late the news was taken in is not known here, so that none of the grace is used up.
+        """
+        if backend in self.leaving and self._binds(backend):
+            return True
+        return self.clock() > self.told.told_by + self.grace - self.DRAIN_MARGIN
 
     def _binds(self, backend: str) -> bool:
         """Whether nothing new may go to one that has left."""
--- a/thornladder/node/discovery/watch.py
+++ b/thornladder/node/discovery/watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -17,10 +18,17 @@
 
 
 class Watch:
-    HOLD = 5.0  # seconds that a call may wait for news: a watch that goes on costs nothing, a cut shows
-    FIRST = 3.0  # seconds for the first call, which waits its turn; told or not, its news counts after six
-    PATIENCE = 1.5  # seconds beyond a call's wait: half a second before its news counts as told
+    # The operators' terms: what a watch misses counts as told so long after it fell silent, and what a new
+    # place has to tell so long after the node was sent there, whether or not it arrived.
+    TOLD, MOVED = 6.0, 4.0  # seconds
+    # A watch may fall silent as soon as an answer is written, which is known only to be after its call was
+    # made. From there, at worst: HOLD to the answer, PACE to the next call, HOLD and PATIENCE until that is
+    # given up, 0.4 until a new watch is begun, PATIENCE for its turn: 5.95 of the six seconds.
+    HOLD = 0.75  # seconds that a call may wait for news: a watch that goes on costs nothing, silence shows
+    PATIENCE = 2.0  # seconds beyond a call's wait, after which the list service itself has given up on it
+    FIRST = PATIENCE + 0.25  # seconds for the first call, which waits its turn: its refusal comes before
     PACE = 0.05  # seconds from one call to the next at least; a watch goes on if it is under 0.2
+    OVERDUE = 1.0  # seconds beyond a call's wait: what breaks off later has been silent before
     CONNECT = 1.0  # seconds for a connection; the list service works through its callers in turn
     MOST_LIST = 16 * 1024 * 1024  # bytes: far more than the lines of any fleet that fits the memory
 
@@ -35,6 +43,9 @@
         self.address, self.version = address, version
         self.tasks, self.tell, self.log = tasks, tell, log
         self.running = False
+        self.heard = math.inf  # when the last call was made that was answered
+        self.since = math.inf  # from when on the call that is out may have missed something; inf: none is out
+        self.deaf_at = math.inf  # when what was missed for good counts as told, until a call is answered
         self.line: Line | None = None
         self.at = address  # where that connection leads
         self.scope = anyio.CancelScope()  # of the call that is out
@@ -43,9 +54,19 @@
         """Follows the list at another place from now on. What is known of it stays."""
         if address != self.address:
             self.address = address
+            self.deaf_at = min(self.told_by, anyio.current_time() + self.MOVED)
             self.scope.cancel()
             self.start()
 
+    @property
+    def told_by(self) -> float:
+        """When what this watch may have missed counts as told, on the event loop's clock; inf: nothing does.
+
+        Guards against pushes to backends that began to drain while the watch was silent: a silence that goes
+        on does not begin anew with each call, and a new place is no answer.
+        """
+        return min(self.deaf_at, self.since + self.TOLD)
+
     def start(self) -> None:
         """Begins a watch unless one stands. What changed meanwhile comes first; a failure ends it."""
         if not self.running:
@@ -94,6 +115,8 @@
     async def _call(self, wait: float) -> ListAnswer | None:
         """One call; a failed one closes its connection."""
         answer: ListAnswer | None = None
+        began = anyio.current_time()
+        self.since = self.heard if wait else began
         with anyio.move_on_after(wait + self.PATIENCE if wait else self.FIRST) as self.scope:
             if self.line is not None and (self.at != self.address or self.line.stale()):
                 await self._close()
@@ -113,6 +136,12 @@
                     answer = None
             elif isinstance(reply, Reply) and 400 <= reply.status < 500:
                 self.version = None  # it does not know the version: the next call is for the whole list
+        if answer is not None:
+            self.heard, self.deaf_at = began, math.inf
+        elif self.at == self.address and anyio.current_time() - began > wait + self.OVERDUE:
+            # It said nothing for too long. One that is refused or broken off in its time missed nothing yet.
+            self.deaf_at = self.told_by
+        self.since = math.inf
         if answer is None or (self.line is not None and not self.line.reusable):
             await self._close()
         return answer
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -183,11 +183,20 @@
     def list_told(self, answer: ListAnswer | None) -> None:
         if answer is None:
             self.logger.warning("a call for the list failed")
-            self._tell(self.node.on_list, ListKind.UNAVAILABLE, [])
+            self._tell(self.node.on_list, ListKind.UNAVAILABLE, [], self._missed_told_by)
             return
         self.told = True
         self._tell_list(self.maintenance.lay(answer, self.clock()))
 
+    @property
+    def _missed_told_by(self) -> float:
+        return self.clock() + self.watch.told_by - anyio.current_time()
+
+    @property
+    def told_by(self) -> float:
+        """When this node is held to news that it does not have; inf while it has all."""
+        return min(self._missed_told_by, self.node.blind_at)
+
     @property
     def list_known(self) -> bool:
         """Whether the list is fresh, or there is one and discovery has had its time."""
