--- a/thornladder/node/discovery/watch.py
+++ b/thornladder/node/discovery/watch.py
@@ -159,7 +159,11 @@
             # one to which no connection came up was no watch.
             self.deaf_at = self.told_by if self.line is not None else self.deaf_at
         elif self.pushed and self.deaf_at == math.inf:
-            self.off_since = now
+            if wait and now - began < self.ON_ITS_WAY:
+                # It did not stand for long enough to say what was new since the last answer, if anything was.
+                self.deaf_at = began - self.PACE
+            else:
+                self.off_since = now
         self.since = math.inf
         if answer is None or (self.line is not None and not self.line.reusable):
             await self._close()
