--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -38,12 +38,13 @@
     assert world.reference.breaches() == [] and world.answers[Ending.NACKED] == 0
 
 
-@pytest.mark.parametrize("seed", [*range(30), 81, 188, 272, 374, 450, 456, 565, 569, 689])
+@pytest.mark.parametrize("seed", [*range(30), 81, 188, 272, 374, 450, 456, 565, 569, 689, 1212, 1977])
 def test_no_push_to_what_counts_as_leaving_in_seeded_schedules(seed: int) -> None:
     """Those past 30 broke texts before this one.
 
     81, 374, 450, 565: a node without its core for a second pushed before it had read what came meanwhile.
     188, 272: an answer that had been written was cancelled by a move; 689: an old place's ended a silence.
+    1212, 1977: lists are pushed, and odd answers passed for signs that nothing was new.
     456, 569: lists are pushed, and discovery went away in the moment between two calls.
     """
     assert judge(seed).first == ""
--- a/thornladder/node/discovery/watch.py
+++ b/thornladder/node/discovery/watch.py
@@ -11,7 +11,7 @@
 from thornladder.fields import Malformed
 from thornladder.interface import ListKind
 from thornladder.node import http1, messages
-from thornladder.node.http1 import Connect, Failure, Line
+from thornladder.node.http1 import Cause, Connect, Failure, Line
 from thornladder.node.messages import ListAnswer, Reply
 from thornladder.node.tasks import Tasks
 from thornladder.settings import Address
@@ -129,6 +129,7 @@
     async def _call(self, wait: float) -> ListAnswer | None:
         """One call; a failed one closes its connection."""
         answer: ListAnswer | None = None
+        reply: Reply | Failure | None = None
         began = anyio.current_time()
         self.since = self.heard if wait else began
         with anyio.move_on_after(wait + self.PATIENCE if wait else self.FIRST) as self.scope:
@@ -138,7 +139,6 @@
             if self.line is None:
                 line = await self.connect(self.at, self.CONNECT)
                 self.line = line if isinstance(line, Line) else None
-            reply: Reply | Failure | None = None
             if self.line is not None:
                 request = messages.encode_watch(f"{self.at[0]}:{self.at[1]}", self.version, wait)
                 reply = await self.line.ask(request, most=self.MOST_LIST)
@@ -163,7 +163,7 @@
                 # It did not stand for long enough to say what was new since the last answer, if anything was.
                 self.deaf_at = began - self.PACE
             else:
-                self.off_since = now
+                self.off_since = min(self.off_since, now) if _odd(reply) else now
         self.since = math.inf
         if answer is None or (self.line is not None and not self.line.reusable):
             await self._close()
@@ -173,3 +173,10 @@
         line, self.line = self.line, None
         if line is not None:
             await line.close()
+
+
+def _odd(reply: Reply | Failure | None) -> bool:
+    """Whether a call failed by what came: no news, and no sign that there is none."""
+    if isinstance(reply, Failure):
+        return reply.cause is Cause.SPOILT
+    return reply is not None and reply.status == 200
