--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -30,6 +30,16 @@
     pushes = [at for at, _ in world.reference.pushes]
     assert world.reference.breaches() == [] and world.answers[Ending.NACKED] > 100
     assert 5.0 < max(pushes) < 1.1 + 6.0 + grace
+    assert "blind: nothing is pushed until the list is answered for" in world.log.lines
+
+
+def test_a_fleet_of_1024_is_taken_in_and_drained_by_a_quarter_in_a_silence() -> None:
+    # No list of backends under 1,024 is too long, indented or not, nor a node too busy with one to keep up.
+    leaving = tuple(Change(1.6, f"s{number}", "terminating") for number in range(0, 1024, 4))
+    day = replace(DAY, backends=1024, indented=True, changes=leaving, length=9.0, spoilt=((0.0, b"{"),))
+    world = play(day)
+    assert world.reference.breaches() == [] and world.answers[Ending.COMPLETED] > 300
+    assert len({to for _, to in world.reference.pushes}) > 100
 
 
 def test_while_pushed_lists_are_away_nothing_new_is_known_and_service_goes_on() -> None:
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -72,6 +72,7 @@
         self.exchanges: dict[str, Exchange] = {}
         self.pending: Counter[str] = Counter()  # timers by name
         self.awake_at = self.began  # when it last noted that it reads what comes
+        self.blind_since: float | None = None  # while news that it does not have binds it: nothing is pushed
         self.node: decide.Node
         self.pushes: Pushes
         self.watch: Watch
@@ -201,6 +202,16 @@
             if self.clock() - due > self.LATE_LOOK:
                 await anyio.sleep(self.CATCH_UP)
             self.awake_at = self.clock()
+            self._note_blindness(self.awake_at)
+
+    def _note_blindness(self, now: float) -> None:
+        blind = now >= self.blind_at
+        if blind and self.blind_since is None:
+            self.blind_since = now
+            self.logger.warning("blind: nothing is pushed until the list is answered for")
+        elif not blind and self.blind_since is not None:
+            self.logger.warning("not blind any more", after=round(now - self.blind_since, 3))
+            self.blind_since = None
 
     async def awake(self) -> None:
         """Returns once what came while this node got no core has been read."""
--- a/thornladder/node/operations.py
+++ b/thornladder/node/operations.py
@@ -47,7 +47,7 @@
             "ready": ready, "standby": self.front.desk.standby, "leaving": self.front.desk.leaving,
             "list_known": self.host.list_known, "backends": len(self.host.maintenance.entries),
             "maintenance": self.host.maintenance.out, "connections": len(self.front.connections),
-            "in_hand": len(self.host.exchanges),
+            "in_hand": len(self.host.exchanges), "blind_since": self.host.blind_since,
         }  # fmt: skip
         return Verdict(200 if ready else 503, facts)
 
--- a/thornladder/rig/told.py
+++ b/thornladder/rig/told.py
@@ -398,12 +398,13 @@
 
     def __init__(self) -> None:
         self.errors: list[str] = []
+        self.lines: list[str] = []
 
     def exception(self, event: str, **_: Any) -> None:
         self.errors.append(f"{event}: {traceback.format_exc(limit=-3)}")
 
     def __getattr__(self, _: str) -> Any:
-        return lambda *args, **named: None
+        return lambda event, **named: self.lines.append(event)
 
 
 def play(schedule: Schedule) -> World:
