--- a/thornladder/node/discovery/watch.py
+++ b/thornladder/node/discovery/watch.py
@@ -154,9 +154,10 @@
             pass  # what a place says that the node has been sent away from ends no silence and begins none
         elif answer is not None:
             self.heard, self.deaf_at, self.off_since = began, math.inf, math.inf
-        elif now - began > wait + self.OVERDUE:
-            # It said nothing for too long. One that is refused or broken off in its time missed nothing yet;
-            # one to which no connection came up was no watch.
+        elif now - began > wait + self.OVERDUE and not isinstance(reply, Reply) and (wait or reply is None):
+            # It said nothing for too long. A call that is refused, or broken off in its time, missed nothing;
+            # nor is it silence when the first call waits for its turn in vain, and that is said by an answer
+            # or a reset. One to which no connection came up was no watch.
             self.deaf_at = self.told_by if self.line is not None else self.deaf_at
         elif self.pushed and self.deaf_at == math.inf:
             if wait and now - began < self.ON_ITS_WAY:
