A change binds six seconds after discovery had it, however calls for the list fail

Read off the code: Watch._missed took a refusal, a reset in its time and a first call given up in its queue for no silence, and Node.on_list then allowed MustAskIn, thrice that again after each failed call, without an end. So a refusal shows nothing, and no connection fails there; one that does shows that discovery was out of reach at that moment alone, and moves nothing either. Mend: Watch.told_by counts from when the last call was made whose answer was taken in (heard), from the start of a process without one; since, and the reckoning of silences where lists are asked for, are gone. A failed watch is begun anew after 0.25 s on the mean in both modes (up to 2 s before): looked at sooner, so that the dark time is short. An answer that led astray or could not be taken in no longer counts as heard. Reference: REACHED in rig/told.py; rows of calls that fail in any way (draw_failing), from the start or later.

--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -724,6 +724,7 @@
     SWEEP = 0.025  # seconds between looks at what is unanswered: a tenth of the shortest usual target time
     AFAR = 0.3  # of the target time: what another zone must be quicker by, for a crossing has its price
     LAST_MOMENT, FRESH = 0.005, 0.05  # seconds: no answer takes less; no new report is worth its price before
+    WATCH_AGAIN = 0.25  # seconds on the mean until a watch that failed is begun anew
 
     def __init__(self, host: Host, *, seed: int, now: float, room: float = 0.0, **settings: object) -> None:
         self.host, self.chance = host, Random(seed)
@@ -735,7 +736,7 @@
         self.admission.first = min(room, Admission.MOST_ROOM) or self.admission.first
         self.asks, self.out, self.began = 0.0, 0, now  # probes that may be sent; pushes out and not overdue
         host.set_timer(self.INTERVAL * self.chance.random(), "interval")
-        self.sweeping, self.watch_wait = False, 0.0
+        self.sweeping = False
         self.blind_at = self.deaf_at = inf  # then: deemed told; deaf: by a silence, as its host reckons
         if self.must_ask_in < inf:
             self._watch(now)
@@ -757,15 +758,15 @@
 
     def on_list(self, now: float, kind: ListKind, entries: list[Entry], deaf_at: float = inf) -> None:
         if kind is ListKind.UNAVAILABLE:
-            # Spread out, or all nodes call a struggling list service in step; always well before MustAskIn.
-            most = min(2.0, self.must_ask_in / 4.0) if self.must_ask_in < inf else 0.25  # told at its return
-            self.watch_wait, self.deaf_at = min(max(2.0 * self.watch_wait, 0.25), most), deaf_at
-            self.host.set_timer(self.watch_wait * (0.5 + self.chance.random()), "watch")
+            # Spread out, or all nodes call a struggling list service in step; soon, since what is new binds.
+            self.deaf_at = deaf_at
+            wait = min(self.WATCH_AGAIN, 0.25 * self.must_ask_in)
+            self.host.set_timer(wait * (0.5 + self.chance.random()), "watch")
             # A watch that breaks off leaves MustAskIn; a failed call four times that from when it was made.
             self.blind_at = min(now + self.must_ask_in * (1.0 if self.blind_at == inf else 3.0), deaf_at)
             return
         if kind is not ListKind.RESTORED:
-            self.watch_wait, self.blind_at, self.deaf_at = 0.0, inf, inf
+            self.blind_at = self.deaf_at = inf
         self.roster.on_list(kind, entries, now)
         self._rebuild(now)
 
--- a/thornladder/measures/told.py
+++ b/thornladder/measures/told.py
@@ -95,6 +95,54 @@
     )  # fmt: skip
 
 
+ROWS = ("503", "late 503", "reset", "mute", "away", "spoilt", "move", "crowd")
+
+
+def draw_failing(seed: int) -> Schedule:
+    """Calls that fail in whatever way, in rows of up to 14 s, from the start or later; drains amid them."""
+    rng = Random(seed)
+    pushed = rng.random() < 0.25
+    # Where lists are pushed a refusal is taken for a list service that is down: docs/assumptions.md.
+    ways = [way for way in ROWS if not (pushed and way in ("503", "late 503", "reset", "crowd"))]
+    backends, grace = rng.choice((8, 12, 40)), rng.choice((0.5, 0.75, 1.0))
+    names = [f"s{number}" for number in range(backends)]
+    days: dict[str, Any] = {"refusing": (), "mute_new": (), "away": (), "spoilt": (), "moves": (),
+                            "resets": (), "callers": (), "silent": ()}  # fmt: skip
+    changes: list[Change] = []
+    at = rng.choice((0.0, rng.uniform(0.3, 3.0)))
+    begins = at
+    if at:
+        days[rng.choice(("resets", "silent"))] = (at,)
+        days["silent"] = tuple((moment, 0) for moment in days["silent"])
+    for _ in range(rng.randint(1, 6)):
+        way, lasts = rng.choice(ways), rng.uniform(0.2, 5.0)
+        if way in ("503", "late 503", "reset"):
+            days["refusing"] += ((at, at + lasts, way),)
+        elif way == "mute":
+            days["mute_new"] += ((at, rng.randint(1, 3)),)
+        elif way == "away":
+            days["away"] += ((at, at + lasts),)
+        elif way == "spoilt":
+            days["spoilt"] += tuple((at + 0.01 * n, rng.choice(SPOILT)) for n in range(rng.randint(1, 9)))
+        elif way == "move":
+            days["moves"] += (at,)
+        else:
+            days["callers"] += ((at, rng.uniform(1.0, 6.0)),)
+        for when in (at - 0.02, at + rng.uniform(0.0, lasts), at + lasts + 0.02):
+            part = names[rng.randrange(4) :: 4]
+            changes += [Change(when, name, "terminating") for name in part]
+            if rng.random() < 0.5:
+                changes += [Change(when + rng.uniform(1.0, 6.0), name, "in_service") for name in part]
+        at += lasts * rng.choice((0.5, 1.0, 1.0))
+        if at - begins > 14.0:
+            break
+    return Schedule(
+        seed=seed, pushed=pushed, grace=grace, backends=backends, rate=rng.choice((10.0, 40.0)),
+        length=at + 8.0, turn=rng.choice((0.0, 0.05, 0.3)), late=rng.choice((0.0, 0.3)),
+        changes=tuple(sorted(changes)), **days,
+    )  # fmt: skip
+
+
 class Verdict(NamedTuple):
     seed: int
     breaches: int
@@ -104,10 +152,10 @@
     nacked: int
 
 
-def judge(seed: int, planted: str = "") -> Verdict:
-    """Plays one schedule, with a fault in the node if one is named."""
+def judge(seed: int, planted: str = "", failing: bool = False) -> Verdict:
+    """Plays one schedule, with a fault in the node if one is named; `failing`: one of calls that fail."""
     with PLANTED[planted]():
-        world = play(draw(seed))
+        world = play(draw_failing(seed) if failing else draw(seed))
     found, answers = world.reference.breaches(), world.answers
     first = f"{found[0][1]} at {found[0][0]:.3f}, {found[0][2]:.3f} s after told" if found else ""
     return Verdict(seed, len(found), first, len(world.reference.pushes),
@@ -137,7 +185,7 @@
 
 
 def _anew_each_call() -> Any:
-    return mock.patch.object(Watch, "told_by", property(lambda self: self.since + self.TOLD))
+    return mock.patch.object(Watch, "told_by", property(lambda self: self.asked + self.TOLD))
 
 
 def _move_is_answer() -> Any:
@@ -154,6 +202,20 @@
     return mock.patch.object(Watch, "told_by", property(lambda self: math.inf))
 
 
+def _refusal_is_no_silence() -> Any:
+    """As the text before the term of six seconds: a refusal or a reset in its time missed nothing."""
+    call = Watch._call
+
+    async def refused(self: Watch, wait: float) -> ListAnswer | None:
+        began = anyio.current_time()
+        answer = await call(self, wait)
+        if answer is None and anyio.current_time() - began < wait + self.PATIENCE + 0.05:
+            self.heard = anyio.current_time()
+        return answer
+
+    return mock.patch.object(Watch, "_call", refused)
+
+
 def _always_blind() -> Any:
     """Blind from the moment that a watch fails until an answer."""
     listed = Node.on_list
@@ -172,14 +234,17 @@
     "a silence begins anew with each call": _anew_each_call,
     "a move is an answer": _move_is_answer,
     "never blind": _never_blind,
+    "a refusal is no silence": _refusal_is_no_silence,
     "blind whenever a call fails": _always_blind,
 }
 SERVICE = ("", "never blind", "blind whenever a call fails")
+# On rows of failing calls.
+FAILING = ("", "a refusal is no silence", "never blind", "blind whenever a call fails")
 
 
-def run(count: int, planted: str, workers: int | None = None) -> list[Verdict]:
+def run(count: int, planted: str, failing: bool = False, workers: int | None = None) -> list[Verdict]:
     with ProcessPoolExecutor(workers) as pool:
-        return list(pool.map(partial(judge, planted=planted), range(count), chunksize=4))
+        return list(pool.map(partial(judge, planted=planted, failing=failing), range(count), chunksize=4))
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
@@ -188,9 +253,9 @@
     given = parser.parse_args(arguments)
     count, fewer = (2000, 400) if given.full else (300, 100)
     points = Points("told")
-    for name in PLANTED:
+    for name, failing in [(name, False) for name in PLANTED] + [(name, True) for name in FAILING]:
         seeds = fewer if name and name not in SERVICE else count
-        verdicts = run(seeds, name)
+        verdicts = run(seeds, name, failing)
         broken = [verdict for verdict in verdicts if verdict.breaches]
         completed = sum(each.completed for each in verdicts)
         came = completed + sum(each.nacked for each in verdicts)
@@ -198,7 +263,8 @@
             "pushes": sum(each.pushes for each in verdicts), "completed": round(completed / came, 4),
             "first": [f"{each.seed}: {each.first}" for each in broken[:3]],
         }  # fmt: skip
-        point, seeds_played = f"schedules broken, {name or 'the node as it is'}", f"0-{seeds - 1}"
+        of = "rows of failing calls" if failing else "schedules"
+        point, seeds_played = f"{of} broken, {name or 'the node as it is'}", f"0-{seeds - 1}"
         if not name:
             points.at_most(point, len(broken), 0, seeds_played, **more)
         elif name in SERVICE:
--- a/thornladder/node/discovery/watch.py
+++ b/thornladder/node/discovery/watch.py
@@ -18,10 +18,10 @@
 
 
 class Watch:
-    # The operators' terms: what a watch misses counts as told so long after it fell silent, and what a new
-    # place has to tell so long after the node was sent there, whether or not it arrived.
+    # The operators' terms: a change counts as told so long after discovery had it, whatever became of the
+    # calls meanwhile, and what a new place has to tell so long after the node was sent there.
     TOLD, MOVED = 6.0, 4.0  # seconds
-    # A watch may fall silent as soon as an answer is written, which is known only to be after its call was
+    # A change may be made as soon as an answer is written, which is known only to be after its call was
     # made. From there, at worst: HOLD to the answer, PACE to the next call, HOLD and PATIENCE until that is
     # given up, 0.4 until a new watch is begun, PATIENCE for its turn: 5.95 of the six seconds.
     HOLD = 0.75  # seconds that a call may wait for news: a watch that goes on costs nothing, silence shows
@@ -47,12 +47,15 @@
         self.address, self.version, self.connect, self.pushed = address, version, connect, pushed
         self.tasks, self.tell, self.log = tasks, tell, log
         self.running = False
-        self.heard = math.inf  # when the last call was made that was answered
-        self.since = math.inf  # from when on the call that is out may have missed something; inf: none is out
-        self.deaf_at = math.inf  # when what a silence kept back counts as told, until a call is answered
+        # When the last call was made whose answer was taken in: what discovery had by then is known. A new
+        # process counts from its start.
+        self.heard = self.asked = anyio.current_time()  # asked: when the call that is out was made
+        self.deaf_at = math.inf  # when what a move or a silence kept back counts as told, until an answer
         # Where lists are pushed, all that is new counts as told at once while no watch stands: since the last
         # one broke off, or a call was refused, which shows that the service learned nothing until then.
+        # What it had when this process began counts until an answer, whatever is refused before.
         self.off_since = anyio.current_time() if pushed else math.inf
+        self.answered = False  # whether a call has been, since this process began
         self.line: Line | None = None
         self.at = address  # where that connection leads
         self.scope = anyio.CancelScope()  # of the call that is out
@@ -74,12 +77,13 @@
 
     @property
     def told_by(self) -> float:
-        """When what this watch may have missed counts as told, on the event loop's clock; inf: nothing does.
+        """When the first change that may not be known counts as told, on the event loop's clock.
 
-        Guards against pushes to backends that began to drain while the watch was silent: a silence that goes
-        on does not begin anew with each call, and a new place is no answer.
+        Guards against attempts to backends that began to drain while no call was answered: what failed, was
+        refused, reset or given up in whatever row moves it no later, nor does a new place. A connection that
+        could not be made shows that discovery was out of reach at that moment alone, and moves nothing.
         """
-        return min(self.deaf_at, self.off_since, self.since + self.TOLD)
+        return min(self.deaf_at, self.off_since, self.heard + self.TOLD)
 
     def start(self) -> None:
         """Begins a watch unless one stands. What changed meanwhile comes first; a failure ends it."""
@@ -116,6 +120,9 @@
                     self.log.exception("news of the list could not be taken in")
                     self.version = None  # what was missed comes with the whole list
                     break
+            if self.at == self.address:  # else: what a place says that was left ends no silence
+                self.heard, self.deaf_at, self.off_since = self.asked, math.inf, math.inf
+                self.answered = True
             self.version, wait = answer.version, self.HOLD
         self.running = False
         self.tell(None)
@@ -130,8 +137,7 @@
         """One call; a failed one closes its connection."""
         answer: ListAnswer | None = None
         reply: Reply | Failure | None = None
-        began = anyio.current_time()
-        self.since = self.heard if wait else began
+        began = self.asked = anyio.current_time()
         with anyio.move_on_after(wait + self.PATIENCE if wait else self.FIRST) as self.scope:
             if self.line is not None and (self.at != self.address or self.line.stale()):
                 await self._close()
@@ -149,18 +155,15 @@
                     answer = None
             elif isinstance(reply, Reply) and 400 <= reply.status < 500:
                 self.version = None  # it does not know the version: the next call is for the whole list
-        if self.at == self.address:  # else: what a place says that was left ends no silence and begins none
-            if answer is not None:
-                self.heard, self.deaf_at, self.off_since = began, math.inf, math.inf
-            else:
-                self._missed(began, wait, reply)
-        self.since = math.inf
+        if answer is None and self.pushed and self.at == self.address:
+            self._missed(began, wait, reply)
         if answer is None or (self.line is not None and not self.line.reusable):
             await self._close()
         return answer
 
     def _missed(self, began: float, wait: float, reply: Reply | Failure | None) -> None:
-        """Reckons when what a failed call kept back counts as told; `reply` is None for a time-out."""
+        """Reckons when what a failed call kept back counts as told, where that is at once while no watch
+        stands; `reply` is None for a time-out."""
         now = anyio.current_time()
         late = now - began > wait + self.OVERDUE
         if late and not isinstance(reply, Reply) and (wait or reply is None):
@@ -169,12 +172,12 @@
             # or a reset. One to which no connection came up was no watch.
             if self.line is not None:
                 self.deaf_at = self.told_by
-        elif self.pushed and self.deaf_at == math.inf:
+        elif self.deaf_at == math.inf:
             if wait and now - began < self.ON_ITS_WAY:
                 # It did not stand for long enough to say what was new since the last answer, if anything was.
                 self.deaf_at = began - self.PACE
             else:
-                self.off_since = min(self.off_since, now) if _odd(reply) else now
+                self.off_since = min(self.off_since, now) if _odd(reply) or not self.answered else now
 
     async def _close(self) -> None:
         line, self.line = self.line, None
--- a/thornladder/rig/told.py
+++ b/thornladder/rig/told.py
@@ -35,6 +35,7 @@
 from thornladder.rig.standins import line
 
 SILENCE, MOVED, AFTER_WAIT = 6.0, 4.0, 2.0  # seconds, of the terms
+REACHED = 6.0  # seconds after discovery had a change and could be reached, whatever is allowed besides
 SLACK = 0.05  # seconds that each limit is longer on sockets
 AGAIN = 0.2  # seconds in which a watch goes on
 TURN = 2.0  # seconds that the service lets a call wait for its turn
@@ -79,7 +80,7 @@
     def told(self, number: int) -> float:
         """When the change counts as told: written, or by the first of the terms that applies before."""
         at, version = self.changes[number].at, number + 2
-        by = [self.arrived(version)]
+        by = [self.arrived(version), self._reached(max(at, 0.0)) + REACHED]
         # What a watch kept back in its silence, and what was new in the moment between two of its calls.
         kept = [silence for silence in self.silences if silence.at - AGAIN <= at < self._heard(silence.at)]
         by += [max(at, silence.at + SILENCE, silence.wait_over + AFTER_WAIT) for silence in kept]
@@ -89,9 +90,16 @@
             by += [max(at, self._must_ask(end)) for end in self.ended if at < self._heard(end)]
         elif not kept and not any(move <= at for move in moved):
             # What the agent has counts; while it is down it learns nothing.
-            by.append(next((end for start, end in self.away if start <= at < end), at))
+            by.append(max(self._reached(at), 0.0))
         return min(by)
 
+    def _reached(self, since: float) -> float:
+        """From when on discovery could be reached, at the earliest then; the process began at 0."""
+        for start, end in sorted(self.away):
+            if start <= since < end:
+                since = end
+        return since
+
     def _must_ask(self, since: float) -> float:
         """When a node whose watch ended then and that gets no answer is held to what it does not have."""
         limit = since + self.must_ask
@@ -138,6 +146,7 @@
     resets: tuple[float, ...] = ()
     away: tuple[tuple[float, float], ...] = ()
     callers: tuple[tuple[float, float], ...] = ()  # when others come, seconds of turns that they take
+    refusing: tuple[tuple[float, float, str], ...] = ()  # from, until, how: "503", "late 503" or "reset"
     moves: tuple[float, ...] = ()  # SIGHUP: the service is at another address from then on
     stalls: tuple[tuple[float, float], ...] = ()  # the node gets no core
     late: float = 0.0  # of the connections to backends come up late, up to a second
@@ -208,12 +217,14 @@
         connection.out, connection.wait_over = True, came + hold
         if connection.mute:
             self._silent(connection)
+        for start, end, how in self.schedule.refusing:
+            if start <= came < end:
+                await self._refuse(connection, how)
+                return
         if came - connection.answered > AGAIN and not self.schedule.pushed:
             begin = max(came, self.free_at)
             if begin + self.schedule.turn - came > TURN:
-                await anyio.sleep(TURN)
-                self.reference.refused.append(self.now)
-                self._write(connection, b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+                await self._refuse(connection, "late 503")
                 return
             self.free_at = ready = begin + self.schedule.turn
             await anyio.sleep_until(ready)
@@ -240,6 +251,16 @@
             self.reference.written.append((min(max(ready, last), self.now), self.version))
         connection.answered = self.now
 
+    async def _refuse(self, connection: Connection, how: str) -> None:
+        """Ends a call though discovery is there and could be asked."""
+        if how == "late 503":
+            await anyio.sleep(TURN)
+        self.reference.refused.append(self.now)
+        if how == "reset":
+            connection.wire.end()
+        else:
+            self._write(connection, b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n")
+
     def _since(self, known: int | None) -> dict[str, Change | None]:
         told = self.reference.changes[: self.version - 1]
         news: dict[str, Change | None] = {}
