The last look before an attempt's first byte asks whether its client is still there

Read off the code and shown by tests: an attempt that had its connection, or waited for one, went out although its client had closed (Pushes._ask looked at drains and blindness alone); where nothing may be cancelled always, elsewhere when the end lay unread: read in the same turn as the request, or behind a large body that back-pressure held in the kernel (ClientConnection._pass_in reads no further). A cancel before an attempt's first turn was not heard either, since nothing waits between the pool and the first byte. Mend: Exchange.left looks at the socket (streams.left: POLLRDHUP, which shows behind unread bytes too); Pushes._unwanted asks it last of all, tells the module that the client has gone and ends the attempt as never sent. What cannot be seen: an end that the client's own kernel holds back behind bytes it could not send yet.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -259,6 +259,7 @@
     def __init__(self, answer: Callable[[Got], bytes | None]) -> None:
         self.answer = answer
         self.got: list[Got] = []
+        self.heads: list[str] = []  # ids of all whose head came, whole or not
         self.opened = 0
         self.closed = 0  # connections that the other side ended
         self.streams: list[anyio.abc.SocketStream] = []
@@ -287,6 +288,7 @@
                             return
                     elif isinstance(event, h11.Request):
                         request, body = event, b""
+                        self.heads.append(dict(event.headers).get(b"x-call-id", b"").decode())
                     elif isinstance(event, h11.Data):
                         body += bytes(event.data)
                     elif isinstance(event, h11.EndOfMessage):
--- a/thornladder/node/backends/pushes.py
+++ b/thornladder/node/backends/pushes.py
@@ -28,6 +28,8 @@
 
     def probe_ended(self, backend: str, outcome: Outcome, report: Report) -> None: ...
 
+    def client_gone(self, exchange: Exchange) -> None: ...
+
     async def awake(self) -> None: ...
 
     @property
@@ -135,7 +137,7 @@
 
         try:
             left = exchange.given if exchange.coming else time_out
-            result = await self._ask(backend, exchange.message, left, scope, begin)
+            result = await self._ask(backend, exchange.message, left, scope, begin, exchange)
             ended = outcome_of(result)
             answer = messages.completed(result) if ended is Outcome.COMPLETED else None
             outcome = ended
@@ -166,9 +168,12 @@
 
     async def _ask(
         self, backend: str, message: Message, time_left: float, scope: anyio.CancelScope,
-        begin: Callable[[Reply], None] | None = None,
+        begin: Callable[[Reply], None] | None = None, exchange: Exchange | None = None,
     ) -> Reply | Failure:  # fmt: skip
-        """Asks once. The connection is closed before a time-out or a cancel is told of."""
+        """Asks once, for a client unless `exchange` is None.
+
+        The connection is closed before a time-out or a cancel is told of.
+        """
         address = self.addresses.get(backend)
         if address is None:
             return Failure(Stage.CONNECTING, Cause.NO_CONNECTION if self.soft else Cause.TOO_LATE)
@@ -180,7 +185,11 @@
                 await self.told.awake()
                 if isinstance(line, Failure):
                     result = line
-                elif self._too_late(backend):
+                elif scope.cancel_called:
+                    # Guards against one that was cancelled before it had its turn: nothing below waits before
+                    # the first byte, and only what waits hears of a cancel.
+                    result = Failure(Stage.CONNECTING, Cause.CANCELLED)
+                elif self._too_late(backend) or (exchange is not None and self._unwanted(exchange)):
                     result = Failure(Stage.CONNECTING, Cause.TOO_LATE)
                 else:
                     request = messages.encode_push(message, time_left, address[0])
@@ -212,6 +221,17 @@
             return True
         return self.clock() >= self.told.blind_at
 
+    def _unwanted(self, exchange: Exchange) -> bool:
+        """Whether nobody waits for this any more, looked at just before the first byte.
+
+        Guards against attempts begun for a client that has closed: its end may lie unread behind bytes that
+        back-pressure holds up, or have come while this attempt waited for its connection or this node for
+        its core; and where nothing may be cancelled, a first or further attempt still on its way out.
+        """
+        if not exchange.over and exchange.left:
+            self.told.client_gone(exchange)
+        return exchange.over
+
     def _binds(self, backend: str) -> bool:
         """Whether nothing new may go to one that has left."""
         return not self.soft or backend in self.drained
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -380,7 +380,7 @@
         narrow(self.stream)
         self.upload, self.upload_over = flow, False
         self.body.clear()
-        self.exchange = Exchange(*decoded, self._deliver, self.waited)
+        self.exchange = Exchange(*decoded, self._deliver, self.waited, self._left)
         self.waited = 0.0
         if not self.desk.taker.came(self.exchange):
             self.exchange = None
@@ -404,7 +404,7 @@
         if isinstance(decoded, BadInput):
             self._answer(*messages.encode_plain(decoded.status, decoded.words, self.desk.closing))
             return
-        self.exchange = Exchange(*decoded, self._deliver, self.waited)
+        self.exchange = Exchange(*decoded, self._deliver, self.waited, self._left)
         self.waited = 0.0
         if not self.desk.taker.came(self.exchange):
             self.exchange = None
@@ -415,6 +415,10 @@
         self.closing = True
         self._answer(*messages.encode_plain(status, words, True))
 
+    def _left(self) -> bool:
+        """Whether the client has closed, reset or half closed its connection."""
+        return streams.left(self.stream)
+
     def _deliver(self, answer: Answer) -> None:
         self.exchange = None
         try:
--- a/thornladder/node/exchange.py
+++ b/thornladder/node/exchange.py
@@ -15,6 +15,7 @@
 
     __slots__ = (
         "invocation", "message", "answer", "gone", "scopes", "out", "waited", "given", "coming", "_deliver",
+        "_left",
     )  # fmt: skip
 
     def __init__(
@@ -23,7 +24,9 @@
         message: Message,
         deliver: Callable[[Answer], None],
         waited: float = 0.0,
+        left: Callable[[], bool] = lambda: False,
     ) -> None:
+        """`left` looks whether the client has closed its connection, read or not."""
         self.invocation, self.message = invocation, message
         self.answer: Answer | None = None
         self.gone = False  # the client left before its answer
@@ -32,7 +35,12 @@
         self.given = invocation.time_left  # seconds, from its last byte on
         self.coming = message.flow is not None  # its body is still on its way
         self.out = 0  # pushes that have not ended
-        self._deliver = deliver
+        self._deliver, self._left = deliver, left
+
+    @property
+    def left(self) -> bool:
+        """Whether its client has gone as of now, also where nobody has read of it yet."""
+        return self.gone or self._left()
 
     @property
     def over(self) -> bool:
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -123,6 +123,31 @@
     return stream.extra(SocketAttribute.raw_socket)
 
 
+def left(stream: SocketStream) -> bool:
+    """Whether the other side has closed, reset or half closed it, whatever lies unread before that."""
+    try:
+        descriptor = _descriptor(stream)
+    except Exception:
+        return True  # the event loop has let go of it
+    if descriptor < 0:
+        return False
+    watch = select.poll()
+    watch.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    events = sum(event for _, event in watch.poll(0))
+    if events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL):
+        return True
+    if not events:
+        return False
+    # Where the end itself is not told apart from bytes it shows as nothing to read.
+    try:
+        with socket.socket(fileno=os.dup(descriptor)) as same:
+            return not same.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def readable(stream: SocketStream) -> bool:
     """Whether the kernel holds bytes, or the end, that nobody has read yet."""
     try:
