A repeat whose window ends while its connection comes up is not sent

Read off the code: Node.may_push holds a keyed repeat to the window of its class when it decides; the attempt then waits for a connection (Pool.get, up to the connect time-out) and its first byte went out whenever that came. Mend: the module says by when the first byte has to be out (Host.push, begin_in; Live.until, one place for what may_push, may_nack and moves ask); the last look before it (Pushes._too_late) heeds it. What is too late ends as never sent, and goes back to the module.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -87,7 +87,7 @@
 
     # The host's calls.
 
-    def push(self, invocation: str, backend: str, time_out: float) -> None:
+    def push(self, invocation: str, backend: str, time_out: float, begin_in: float) -> None:
         account = self.accounts[invocation]
         assert not account.final, "pushed after its final answer"
         assert backend in self.listed, "pushed to a backend that drains or is gone"
--- a/thornladder/adapter/__main__.py
+++ b/thornladder/adapter/__main__.py
@@ -21,7 +21,7 @@
         self.tag = f',"I":{json.dumps(name)}'
         self.reply = reply
 
-    def push(self, invocation: str, backend: str, time_out: float) -> None:
+    def push(self, invocation: str, backend: str, time_out: float, begin_in: float) -> None:
         self.reply.append(
             f'{{"kind":"HAND_OFF"{self.tag},"Id":"{invocation}","GiveUpAfter":{wire.micros(time_out)},'
             f'"Backend":{json.dumps(backend)}}}'
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -197,9 +197,8 @@
         self.total = sum(seat.weight for seat in self.seats) or 1
 
     def pick(self, allowed: Judge, wait: Callable[[Backend], float], lets: Chance) -> Backend | None:
-        """The next seat in turn, or one after it with less in flight; ramping ones in turn, or as a spare.
-
-        `lets`: whether chance lets a request go to one that so large a part of all would reach."""
+        """The next seat in turn, or one after it with less in flight; ramping ones in turn, or as a spare, if
+        chance `lets` a request go to one that so large a part of all would reach."""
         self.clock += 1.0 / self.total
         choice, best, spares = None, 0.0, []
         self.seats.sort(key=lambda seat: seat.turn)
@@ -711,6 +710,13 @@
     def may_have_run(self) -> bool:
         return any(push.outcome is None or not push.outcome.never_ran for push in self.pushes)
 
+    @property
+    def until(self) -> float:
+        """When a further attempt has to have begun: a keyed one within the window, once it may have run."""
+        if self.offering.kind is Kind.REPEATABLE or not self.may_have_run:
+            return inf
+        return -inf if self.offering.kind is Kind.ONCE_ONLY else self.first.sent + self.offering.window
+
 
 class Node:
     """One balancer node: a method for each thing that can happen."""
@@ -881,18 +887,16 @@
         twice = live.open and not self.limits.second_copies
         if live.pushes and (twice or len(live.pushes) >= most or not self.budget.allows(now)):
             return False
-        if live.offering.kind is not Kind.REPEATABLE and live.may_have_run:
-            group, until = live.offering.group, live.first.sent + live.offering.window - self.LAST_MOMENT
-            elsewhere = backend.group(group) != live.first.backend.group(group)
-            if live.offering.kind is Kind.ONCE_ONLY or now >= until or elsewhere:
-                return False
+        group, until = live.offering.group, live.until
+        elsewhere = until < inf and backend.group(group) != live.first.backend.group(group)
+        if now >= until - self.LAST_MOMENT or elsewhere:
+            return False
         return backend.ramp_start is None or self._cold_budget_left(backend, live.cost, now)
 
     def may_nack(self, live: Live) -> bool:
         """Whether a nack, which tells the client that a repeat is harmless, would be true."""
-        if live.answered or live.offering.kind is Kind.REPEATABLE or not live.may_have_run:
-            return not live.answered
-        return live.offering.kind is Kind.TAGGED and live.offering.group == "all"
+        anywhere = live.offering.kind is Kind.TAGGED and live.offering.group == "all"
+        return not live.answered and (anywhere or live.until == inf)
 
     def _cold_rate(self, backend: Backend, now: float) -> float:
         """This node's part of the work a second that a cold backend bears."""
@@ -920,8 +924,7 @@
 
     def _rate(self, now: float) -> float:
         """Invocations a second, also of a node that has only begun to count them."""
-        seen = 1.0 - exp(min(self.began - now, -0.05) / Admission.LONGEST)
-        return self.admission.rate(now) / seen
+        return self.admission.rate(now) / (1.0 - exp(min(self.began - now, -0.05) / Admission.LONGEST))
 
     def _watch(self, now: float) -> None:
         self.blind_at = min(now + self.must_ask_in, self.deaf_at)
@@ -931,13 +934,12 @@
         if backend is None or not self.may_push(live, backend, now):
             self._give_up(live, now)
             return
-        view = self.health.view(backend)
+        view, until = self.health.view(backend), live.until - self.LAST_MOMENT
         ahead = self.health.load(view, live.cost, now) - live.cost
         idle = view.work < 0.1 * live.cost and view.others < 1.0
         push = Push(backend, now, live.cost, ahead, idle)
         push.kind, push.drag = live.kind, self.health.drag(live, now)
-        if not live.may_have_run:
-            live.first = push
+        live.first = push if until == inf else live.first
         self.budget.further.add(1 if live.pushes else 0, now, now)
         live.pushes.append(push)
         live.open += 1
@@ -952,7 +954,7 @@
             view.cold.append((now, live.cost))
         if view.cause:
             view.trial = True
-        self.host.push(live.inv.id, backend.id, live.cut_off - now)
+        self.host.push(live.inv.id, backend.id, live.cut_off - now, until - now)
         self._sweep_soon()
 
     def _pick(self, live: Live, now: float) -> Backend | None:
@@ -981,8 +983,7 @@
 
     def _push_again(self, live: Live, now: float) -> None:
         """Nothing is out any more and there is no answer: push on if that is allowed, or give up at once."""
-        backend = self._pick(live, now) if self.retries.allows(live) else None
-        self._push(live, backend, now)
+        self._push(live, self._pick(live, now) if self.retries.allows(live) else None, now)
 
     def _give_up(self, live: Live, now: float) -> None:
         if live.open or live.answered:
@@ -1070,9 +1071,8 @@
                 self.host.probe(push.backend.id)
             if now - view.asked < Health.SILENT_PROBE:
                 return
-        until = live.first.sent + offering.window - 4.0 * self.SWEEP
-        tagged = offering.kind is Kind.TAGGED and offering.group == "all" and now < until
-        if self.limits.cancelling and (tagged or offering.kind is Kind.REPEATABLE):
+        anywhere = offering.kind is Kind.REPEATABLE or offering.group == "all"
+        if self.limits.cancelling and anywhere and now < live.until - 4.0 * self.SWEEP:
             live.moving = True
             self.host.cancel(live.inv.id, number)
 
--- a/thornladder/interface.py
+++ b/thornladder/interface.py
@@ -165,7 +165,8 @@
 class Host(Protocol):
     """What a node may ask of its host. Nothing here answers; results come back as events."""
 
-    def push(self, invocation: str, backend: str, time_out: float) -> None: ...
+    def push(self, invocation: str, backend: str, time_out: float, begin_in: float) -> None:
+        """Seconds until it is given up, and until its first byte has to be out: else it is not sent."""
 
     def cancel(self, invocation: str, number: int) -> None: ...
 
--- a/thornladder/measures/sizes.py
+++ b/thornladder/measures/sizes.py
@@ -29,7 +29,7 @@
         self.pushed: list[tuple[str, str]] = []
         self.nacked = 0
 
-    def push(self, invocation: str, backend: str, time_out: float) -> None:
+    def push(self, invocation: str, backend: str, time_out: float, begin_in: float) -> None:
         self.pushed.append((invocation, backend))
 
     def nack(self, invocation: str, come_back: float) -> None:
--- a/thornladder/measures/told.py
+++ b/thornladder/measures/told.py
@@ -167,7 +167,7 @@
 
 
 def _on_deciding_only() -> Any:
-    return mock.patch.object(Pushes, "_too_late", lambda self, backend: False)
+    return mock.patch.object(Pushes, "_too_late", lambda self, backend, begin_by: False)
 
 
 def _odd_is_alive() -> Any:
--- a/thornladder/node/backends/pushes.py
+++ b/thornladder/node/backends/pushes.py
@@ -115,12 +115,17 @@
                 self.drained.discard(backend)
                 self.addresses.pop(backend, None)
 
-    def start(self, exchange: Exchange, backend: str, time_out: float) -> None:
+    def start(
+        self, exchange: Exchange, backend: str, time_out: float, begin_in: float = math.inf
+    ) -> None:
         number, scope = exchange.open_push()
         scope.deadline = anyio.current_time() + time_out
-        self.tasks.start("a push", self._push, exchange, number, backend, time_out)
+        by = self.clock() + begin_in
+        self.tasks.start("a push", self._push, exchange, number, backend, time_out, by)
 
-    async def _push(self, exchange: Exchange, number: int, backend: str, time_out: float) -> None:
+    async def _push(
+        self, exchange: Exchange, number: int, backend: str, time_out: float, begin_by: float
+    ) -> None:
         sent = self.clock()
         # Nothing unforeseen keeps an end from being told: the invocation would be left without an answer.
         outcome, answer, scope, begun = Outcome.BROKEN_OFF, None, exchange.scopes[number], False
@@ -137,7 +142,7 @@
 
         try:
             left = exchange.given if exchange.coming else time_out
-            result = await self._ask(backend, exchange.message, left, scope, begin, exchange)
+            result = await self._ask(backend, exchange.message, left, scope, begin, exchange, begin_by)
             ended = outcome_of(result)
             answer = messages.completed(result) if ended is Outcome.COMPLETED else None
             outcome = ended
@@ -169,6 +174,7 @@
     async def _ask(
         self, backend: str, message: Message, time_left: float, scope: anyio.CancelScope,
         begin: Callable[[Reply], None] | None = None, exchange: Exchange | None = None,
+        begin_by: float = math.inf,
     ) -> Reply | Failure:  # fmt: skip
         """Asks once, for a client unless `exchange` is None.
 
@@ -189,7 +195,7 @@
                     # Guards against one that was cancelled before it had its turn: nothing below waits before
                     # the first byte, and only what waits hears of a cancel.
                     result = Failure(Stage.CONNECTING, Cause.CANCELLED)
-                elif self._too_late(backend) or (exchange is not None and self._unwanted(exchange)):
+                elif self._too_late(backend, begin_by) or (exchange is not None and self._unwanted(exchange)):
                     result = Failure(Stage.CONNECTING, Cause.TOO_LATE)
                 else:
                     request = messages.encode_push(message, time_left, address[0])
@@ -211,15 +217,16 @@
                 self.log.exception("a connection could not be put back")  # its answer stands all the same
         return result
 
-    def _too_late(self, backend: str) -> bool:
+    def _too_late(self, backend: str, begin_by: float) -> bool:
         """Whether what was decided while the backend ran is not to be begun any more.
 
         Guards against pushes that waited for a connection: a drain or a silent watch may have overtaken them,
-        and how late the news was taken in is not known here, so that none of the grace is used up.
+        and how late the news was taken in is not known here, so that none of the grace is used up; or the
+        window in which a repeat of what may have run is discarded is over.
         """
         if backend in self.leaving and self._binds(backend):
             return True
-        return self.clock() >= self.told.blind_at
+        return self.clock() >= min(self.told.blind_at, begin_by)
 
     def _unwanted(self, exchange: Exchange) -> bool:
         """Whether nobody waits for this any more, looked at just before the first byte.
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -100,8 +100,8 @@
 
     # The module's calls.
 
-    def push(self, invocation: str, backend: str, time_out: float) -> None:
-        self.pushes.start(self.exchanges[invocation], backend, time_out)
+    def push(self, invocation: str, backend: str, time_out: float, begin_in: float) -> None:
+        self.pushes.start(self.exchanges[invocation], backend, time_out, begin_in)
 
     def cancel(self, invocation: str, number: int) -> None:
         self.exchanges[invocation].scopes[number].cancel()
--- a/thornladder/rig/cold.py
+++ b/thornladder/rig/cold.py
@@ -67,7 +67,7 @@
         self.alive = True
         self.node: decide.Node
 
-    def push(self, invocation: str, backend: str, time_out: float) -> None:
+    def push(self, invocation: str, backend: str, time_out: float, begin_in: float) -> None:
         self.fleet.sent(self, invocation, backend)
 
     def set_timer(self, delay: float, name: str) -> None:
