What is kept in the folder says under which deployment it was written; another's is not used

Read off the code: the handover's files were keyed by the node's name alone (handover._key), so a folder or a name used again by another customer brought start times of its backends, its room and its marks of backends out by hand. Mend: each file says its zone and classes; what has no class in common or another zone counts as none and is named in one log line. Files of the text before say nothing and are used, so that an upgrade loses nobody's marks; an upgrade may add and drop classes. Checked, no fault: a request that is out when SIGHUP takes its class away is sent again and answered under the settings it came in with.

--- a/thornladder/node/handover.py
+++ b/thornladder/node/handover.py
@@ -1,4 +1,5 @@
-"""What outlives a process of this node: files in its private folder, keyed by the node's name."""
+"""What outlives a process of this node: files in its private folder, keyed by the node's name, that say under
+which deployment's settings they were written."""
 
 from __future__ import annotations
 
@@ -26,11 +27,35 @@
     return f"thornladder-{plain}-{zlib.crc32(node.encode()):08x}"
 
 
+class Deployment(NamedTuple):
+    """What tells one deployment's settings from another's, and stays over an ordinary change of them."""
+
+    zone: str = ""
+    classes: frozenset[str] = frozenset()
+
+    @classmethod
+    def of(cls, decisions: dict[str, Any]) -> Deployment:
+        return cls(decisions["zone"], frozenset(offering.name for offering in decisions["offerings"]))
+
+    def fits(self, told: Any) -> bool:
+        """Whether a file that says this of itself may be used: an upgrade may add classes and drop some."""
+        if told is None or not self.classes:
+            return True  # written before files said so
+        classes = told.get("classes") if isinstance(told, dict) else None
+        if not isinstance(classes, list) or told.get("zone") != self.zone:
+            return False
+        return any(name in self.classes for name in classes if isinstance(name, str))
+
+
+ANY = Deployment()  # of files that hold nothing of a deployment's
+
+
 class Sheet:
-    """One small checked file. What is missing, torn, of another node or another version reads as None."""
+    """One small checked file. What is missing, torn, of another node, deployment or version reads as None."""
 
-    def __init__(self, folder: str, node: str, what: str) -> None:
-        self.node = node
+    def __init__(self, folder: str, node: str, what: str, deployment: Deployment = ANY) -> None:
+        self.node, self.deployment = node, deployment
+        self.foreign = False  # whether it was another deployment's when it was last read
         self.path = Path(folder) / f"{_key(node)}.{what}"
 
     def read(self) -> dict[str, Any] | None:
@@ -42,11 +67,15 @@
             told = parse(text)
         except (OSError, Malformed):
             return None
-        return told if told.get("node") == self.node else None
+        if told.get("node") != self.node:
+            return None
+        self.foreign = not self.deployment.fits(told.get("under"))
+        return None if self.foreign else told
 
     def write(self, told: dict[str, Any]) -> None:
         """Whole or not at all: readers see the old file until the new one stands."""
-        text = json.dumps({**told, "node": self.node}).encode()
+        under = {"zone": self.deployment.zone, "classes": sorted(self.deployment.classes)}
+        text = json.dumps({**told, "node": self.node, "under": under}).encode()
         part = self.path.with_name(f"{self.path.name}.{os.getpid()}")
         try:
             part.write_bytes(b"%d %08x\n%s" % (FORM, zlib.crc32(text), text))
@@ -145,8 +174,8 @@
 
     FRESH = 10.0  # seconds: about as long as a load lasts
 
-    def __init__(self, folder: str, node: str) -> None:
-        self.sheet = Sheet(folder, node, "learned")
+    def __init__(self, folder: str, node: str, deployment: Deployment = ANY) -> None:
+        self.sheet = Sheet(folder, node, "learned", deployment)
         self.written, self.at = Learned({}), -self.FRESH
 
     def load(self, now: float) -> Learned:
@@ -170,8 +199,8 @@
 class Marks:
     """Maintenance on the disk: each id's last call. Two processes may add to it; the later call holds."""
 
-    def __init__(self, folder: str, node: str) -> None:
-        self.sheet = Sheet(folder, node, "maintenance")
+    def __init__(self, folder: str, node: str, deployment: Deployment = ANY) -> None:
+        self.sheet = Sheet(folder, node, "maintenance", deployment)
         self.lock = self.sheet.path.with_name(f"{self.sheet.path.name}-lock")
         self.seen: tuple[int, int] | None = None
 
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -21,7 +21,7 @@
 from thornladder.node.clients.front import Front
 from thornladder.node.companion import Companion, Surroundings
 from thornladder.node.discovery.watch import Watch
-from thornladder.node.handover import Learned, Lessons, Marks, Phase, Places, Seen
+from thornladder.node.handover import Deployment, Learned, Lessons, Marks, Phase, Places, Seen
 from thornladder.node.host import Clock, NodeHost
 from thornladder.node.maintenance import Maintenance
 from thornladder.node.messages import ListAnswer
@@ -123,8 +123,9 @@
 
     def __init__(self, config: Config, log: Any) -> None:
         self.decisions, self.log = config.decisions, log
-        self.marks = Marks(config.folder, config.name)
-        self.lessons, self.learned = Lessons(config.folder, config.name), Learned({})
+        deployment = Deployment.of(config.decisions)
+        self.marks = Marks(config.folder, config.name, deployment)
+        self.lessons, self.learned = Lessons(config.folder, config.name, deployment), Learned({})
         self.places = Places(config.folder, config.name)
         self.phase = Phase.STARTING
         self.beside: list[Seen] = []  # other processes of this node
@@ -140,6 +141,8 @@
         maintenance = Maintenance(self.marks.load())
         self.learned = self.lessons.load(now)
         maintenance.warm_from(self.learned.starts, now)
+        if self.marks.sheet.foreign or self.lessons.sheet.foreign:
+            self.log.warning("the folder holds another deployment's files, which are not used")
         return maintenance
 
     async def run(self, host: NodeHost, front: Front, pool: Pool, held: Held) -> None:
@@ -168,6 +171,8 @@
 
     def retune(self, decisions: dict[str, Any], host: NodeHost) -> None:
         self.decisions = decisions
+        # What is written from now on is under these; what stands written was this node's and goes on.
+        self.marks.sheet.deployment = self.lessons.sheet.deployment = Deployment.of(decisions)
         self._settle(host)
 
     def count(self, host: NodeHost, nodes: int) -> None:
