A connection to a backend rests 10 ms, so that a late second answer is nobody else's

Read off the code: Pool.get gave out a connection as soon as its answer was whole. Mend: Pool._rested takes the one used last of those that have rested for 10 ms, or waits for the one that has longest; what came meanwhile shows before it is taken up (Pool._good). A request waits 10 ms at most, and only where all connections to its backend ended one within them.

--- a/thornladder/node/backends/pool.py
+++ b/thornladder/node/backends/pool.py
@@ -5,6 +5,8 @@
 from collections import defaultdict
 from collections.abc import Callable
 
+import anyio
+
 from thornladder.node import http1
 from thornladder.node.http1 import Cause, Connect, Failure, Line, Stage
 from thornladder.settings import Address
@@ -12,6 +14,9 @@
 
 class Pool:
     MARGIN = 1.0  # seconds before the backend closes an idle connection; more than an answer is on its way
+    # Seconds that a connection rests between two requests. A backend's second answer to the first may come
+    # some milliseconds late, and once the next request is out it would pass for the answer to that.
+    REST = 0.01
 
     def __init__(
         self, most: int, idle_close: float, connect_time_out: float, clock: Callable[[], float],
@@ -29,9 +34,9 @@
 
     async def get(self, backend: str, address: Address) -> Line | Failure:
         """A connection on which nothing is out: an idle one that still stands, or a new one."""
-        lines = self.idle[backend]
-        while lines:
-            line = lines.pop()
+        # Looked up anew after each wait: a sweep or a drain may have taken the others elsewhere meanwhile.
+        while lines := self.idle.get(backend):
+            line = await self._rested(lines)
             if self._good(line):
                 return line
             self.left.append(line)
@@ -49,6 +54,19 @@
                 self.held -= 1
         return line
 
+    async def _rested(self, lines: list[Line]) -> Line:
+        """Takes the one used last of those that have rested, or waits for the one that has longest."""
+        now = self.clock()
+        rested = (n for n in range(len(lines) - 1, -1, -1) if now - lines[n].idle_since >= self.REST)
+        line = lines.pop(next(rested, 0))
+        try:
+            while (wait := line.idle_since + self.REST - self.clock()) > 0.0:
+                await anyio.sleep(wait)
+        except BaseException:
+            self.left.append(line)  # whoever asked for it waits no more
+            raise
+        return line
+
     async def put(self, backend: str, line: Line) -> None:
         """Takes a connection back: kept if it can be used again, closed if not."""
         if line.reusable:
