--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -14,7 +14,9 @@
 import pytest
 from harness import SETTINGS, Bank, Got, Peer, reply, until
 
+from thornladder.node import streams
 from thornladder.node.backends.pool import Pool
+from thornladder.node.clients.connection import ClientConnection
 from thornladder.node.http1 import Failure, Line
 from thornladder.node.messages import MOST_WHOLE
 
@@ -174,3 +176,26 @@
         ids = [got.headers["x-call-id"] for peer in bank.backends for got in peer.got]
         assert ids.count("aa") == 1
         raw.close()
+
+
+@pytest.mark.parametrize("broken", ["dup", "poll"])
+async def test_a_look_that_fails_takes_nobody_for_gone(broken: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    # A client that was there was left without an answer, since looking at its socket failed.
+    def fails(*_: object) -> None:
+        raise OSError(24, "Too many open files")
+
+    async with Bank(done) as bank:
+        found: list[ClientConnection] = []
+        left = ClientConnection._left
+
+        def looked(connection: ClientConnection) -> bool:
+            found.append(connection)
+            with monkeypatch.context() as patch:
+                if broken == "dup":
+                    patch.setattr(streams.os, "dup", fails)
+                else:
+                    patch.setattr(streams, "raw", fails)
+                return left(connection)
+
+        monkeypatch.setattr(ClientConnection, "_left", looked)
+        assert (await bank.ask("aa", "look")).target == "200" and found
--- a/thornladder/node/backends/pool.py
+++ b/thornladder/node/backends/pool.py
@@ -15,8 +15,9 @@
 class Pool:
     MARGIN = 1.0  # seconds before the backend closes an idle connection; more than an answer is on its way
     # Seconds that a connection rests between two requests. A backend's second answer to the first may come
-    # some milliseconds late, and once the next request is out it would pass for the answer to that.
-    REST = 0.01
+    # some milliseconds late, and once the next request is out it would pass for the answer to that. Short,
+    # since whoever asks one request after the other waits for it each time.
+    REST = 0.002
 
     def __init__(
         self, most: int, idle_close: float, connect_time_out: float, clock: Callable[[], float],
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -124,11 +124,14 @@
 
 
 def left(stream: SocketStream) -> bool:
-    """Whether the other side has closed, reset or half closed it, whatever lies unread before that."""
+    """Whether the other side has closed, reset or half closed it, whatever lies unread before that.
+
+    What cannot be looked at counts as there: its end is read as ever.
+    """
     try:
         descriptor = _descriptor(stream)
     except Exception:
-        return True  # the event loop has let go of it
+        return False
     if descriptor < 0:
         return False
     watch = select.poll()
@@ -140,12 +143,16 @@
         return False
     # Where the end itself is not told apart from bytes it shows as nothing to read.
     try:
-        with socket.socket(fileno=os.dup(descriptor)) as same:
-            return not same.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
+        same = socket.socket(fileno=os.dup(descriptor))
     except OSError:
-        return True
+        return False  # no descriptor to spare
+    with same:
+        try:
+            return not same.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
 
 
 def readable(stream: SocketStream) -> bool:
