--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -128,22 +128,14 @@
 
     What cannot be looked at counts as there: its end is read as ever.
     """
-    try:
-        descriptor = _descriptor(stream)
-    except Exception:
-        return False
-    if descriptor < 0:
+    events = _events(stream, select.POLLIN | select.POLLRDHUP)
+    if not events:
         return False
-    watch = select.poll()
-    watch.register(descriptor, select.POLLIN | select.POLLRDHUP)
-    events = sum(event for _, event in watch.poll(0))
     if events & (select.POLLRDHUP | select.POLLHUP | select.POLLERR | select.POLLNVAL):
         return True
-    if not events:
-        return False
     # Where the end itself is not told apart from bytes it shows as nothing to read.
     try:
-        same = socket.socket(fileno=os.dup(descriptor))
+        same = socket.socket(fileno=os.dup(_descriptor(stream)))
     except OSError:
         return False  # no descriptor to spare
     with same:
@@ -156,15 +148,20 @@
 
 
 def readable(stream: SocketStream) -> bool:
-    """Whether the kernel holds bytes, or the end, that nobody has read yet."""
+    """Whether the kernel holds bytes, or the end, that nobody has read yet; also where it cannot be asked."""
+    return _events(stream, select.POLLIN) != 0
+
+
+def _events(stream: SocketStream, asked: int) -> int | None:
+    """What the kernel has to say of a stream's socket as of now; 0: nothing, None: it cannot be asked."""
     try:
         descriptor = _descriptor(stream)
     except Exception:
         # Guards against the end of the node: the event loop has let go of a socket that is being closed, and
         # asking for it fails in ways that are the event loop's own (incident: AttributeError in accepting).
-        return True
+        return None
     if descriptor < 0:
-        return False
+        return 0
     watch = select.poll()
-    watch.register(descriptor, select.POLLIN)
-    return bool(watch.poll(0))
+    watch.register(descriptor, asked)
+    return sum(events for _, events in watch.poll(0))
