--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -65,6 +65,7 @@
         self.connection_count = 0  # `connections`, and accepted sockets not yet among them
         self.near_limit = False  # whether the backlog is cut
         self.is_open = False  # whether new connections are accepted
+        self.accepting = False  # whether `run` accepts connections, or those that are still queued
         self.accept_scope: anyio.CancelScope | None = None  # None until `run` is called
         self.standby_since = 0.0
 
@@ -73,7 +74,7 @@
 
         The queue of a shared socket is left to the process that stays.
         """
-        self.is_open = True
+        self.is_open = self.accepting = True
         with anyio.CancelScope() as self.accept_scope:
             while True:
                 await self._accept_pending(listener)
@@ -83,6 +84,8 @@
                 await self._accept_pending(listener)
             drained = quiet_scope.cancelled_caught
         listener.close()
+        self.accepting = False
+        self.server_state.log.info("stopped accepting")
 
     async def _accept_pending(self, listener: socket.socket) -> None:
         """Waits for connections and accepts all that are pending; can only be cancelled while none are."""
@@ -173,11 +176,24 @@
                 # Lets requests in transit on kept connections arrive before these are closed.
                 await anyio.sleep(self.ACCEPT_AFTER_DRAIN_SECONDS)
             await anyio.sleep(self.ACCEPT_QUIET_SECONDS + self.SETTLE_SECONDS)
+            self._log_connections("closing idle connections")
             while not all(connection.last_response_sent for connection in self.connections):
                 self._close_oldest_idle(len(self.connections))
                 await anyio.sleep(0.02)
+        self._log_connections("drained")
         await anyio.sleep(self.SETTLE_SECONDS)
 
+    def _log_connections(self, event: str) -> None:
+        """Logs a step of the drain with the number of connections in each state."""
+        self.server_state.log.info(
+            event,
+            accepting=self.accepting,
+            idle=sum(connection.idle and not connection.closing for connection in self.connections),
+            in_flight=sum(connection.exchange is not None for connection in self.connections),
+            closing=sum(connection.closing for connection in self.connections),
+            connections=self.connection_count,
+        )
+
     def set_standby(self, standby: bool) -> None:
         """Enters or leaves standby. New connections are still accepted: readiness informs the front."""
         self.server_state.standby, self.standby_since = standby, self.server_state.clock()
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -152,6 +152,7 @@
         if exchange.invocation.id in self.exchanges:
             return False
         self.exchanges[exchange.invocation.id] = exchange
+        exchange.received_at = self.clock()
         time_left = self._time_left(
             exchange.time_budget + self.MAX_UPLOAD_SECONDS * exchange.body_incoming, exchange.unread_seconds
         )
@@ -277,6 +278,11 @@
         """Time from which the list is stale and nothing may be pushed; inf while it is up to date."""
         return min(self._watch_stale_at, self.node.list_stale_at)
 
+    @property
+    def unanswered(self) -> list[Exchange]:
+        """Invocations in flight whose client still waits for a final answer."""
+        return [exchange for exchange in self.exchanges.values() if not exchange.finished]
+
     @property
     def list_known(self) -> bool:
         """Whether discovery has answered, or DISCOVERY_WAIT_SECONDS are over and there is a restored list."""
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -138,7 +138,7 @@
         reload = ConfigReloader(path, config, ReloadTargets(host, server_state, pushes, watch, handover), log)
         for extension in extensions:
             extension.start(context)
-        await group.start(_handle_signals, front, reload, handover, tasks, log, extensions)
+        await group.start(_handle_signals, front, host, reload, handover, tasks, log, extensions)
         tasks.start("opening the listener", _start_accepting, front, host, handover, tasks, listener)
         if admin_listener:
             admin = AdminServer(
@@ -348,6 +348,7 @@
 
 async def _handle_signals(
     front: Front,
+    host: NodeHost,
     reload: ConfigReloader,
     handover: Handover,
     tasks: Tasks,
@@ -370,15 +371,26 @@
                 leaving = True
                 handover.announce_leaving(front)
                 log.info("leaving", signal=signal_number.name)
-                tasks.start("leaving", _shut_down, front, tasks, log, extensions)
+                tasks.start("leaving", _shut_down, front, host, tasks, log, extensions)
 
 
-async def _shut_down(front: Front, tasks: Tasks, log: Any, extensions: Sequence[NodeExtension]) -> None:
+async def _shut_down(
+    front: Front, host: NodeHost, tasks: Tasks, log: Any, extensions: Sequence[NodeExtension]
+) -> None:
+    signalled_at = host.clock()
     try:
         await front.drain()
         for extension in extensions:
             with anyio.move_on_after(EXTENSION_STOP_SECONDS):
                 await extension.stop(front.server_state.has_successor)
-        log.info("left")
+        log.info("left", seconds=round(host.clock() - signalled_at, 3))
+        for exchange in host.unanswered:
+            log.error(
+                "an invocation was left unanswered",
+                id=exchange.invocation.id,
+                offering=exchange.invocation.offering,
+                received_after_signal=round(exchange.received_at - signalled_at, 3),
+                time_left=round(exchange.received_at + exchange.time_budget - host.clock(), 3),
+            )
     finally:
         tasks.cancel_all()
