Answer every request before a node that was told to end does end

Cause: Front.drain waited until 0.5 s and the longest cut-off after SIGTERM, then 0.1 s, and Tasks.cancel_all ended what was left; but a request read until then had its whole time, counted from its reading.

Fix: the time of the last answer (0.35 s and the longest deadline after SIGTERM) and of the end (0.55 s) are fixed when the signal is taken in (shutdown.py). The drain ends when the last answer is written.

The longest deadline is that of the settings in force, 3 s at most, as the platform counts; before, it was the longest of any settings since the start, so a shorter one from SIGHUP left the shutdown longer than the platform waits.

--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -16,6 +16,7 @@
 from thornladder.node.exchange import Exchange
 from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe, limit_kernel_buffers
 from thornladder.node.messages import MAX_BODY_BYTES, MAX_BUFFERED_BYTES, BadRequest, ClientResponse
+from thornladder.node.shutdown import ShutdownSchedule
 from thornladder.node.streams import STREAM_CLOSED_ERRORS, BodyBudget, has_unread_data
 
 
@@ -54,10 +55,10 @@
     ) -> None:
         self.handler, self.clock, self.body_budget, self.log = handler, clock, body_budget, log
         self.is_lagging = is_lagging  # whether this node is late in reading what it has received
-        # `max_cut_off`: the longest cut-off, in seconds, of any invocation that may be in flight.
-        self.shed_policy, self.max_cut_off = shed_policy, 0.0
+        self.shed_policy = shed_policy
         self.set_offerings(offerings)
-        self.draining = self.standby = False
+        self.shutdown: ShutdownSchedule | None = None  # set once this process has been told to end
+        self.standby = False
         self.has_successor = False  # another process of this node accepts on the same listening socket
 
     @property
@@ -72,7 +73,16 @@
     def set_offerings(self, offerings: Mapping[str, Offering]) -> None:
         """Replaces the offerings for new invocations; those in flight keep theirs."""
         self.offerings, self.early_shedder = offerings, EarlyShedder(offerings, self.shed_policy)
-        self.max_cut_off = max(self.max_cut_off, *(offering.cut_off for offering in offerings.values()))
+
+    @property
+    def longest_deadline(self) -> float:
+        """The longest time, in seconds, that the present settings let any client wait."""
+        return max((offering.cut_off for offering in self.offerings.values()), default=0.0)
+
+    @property
+    def draining(self) -> bool:
+        """Whether this process has been told to end."""
+        return self.shutdown is not None
 
     @property
     def closes_connections(self) -> bool:
@@ -198,6 +208,16 @@
         if not (self.request_seen and self.server_state.clock() - self.last_activity < self.LINGER_SECONDS):
             self.scope.cancel()  # safe: no recent response that a reset could overtake
 
+    def refuse_incomplete(self) -> None:
+        """Refuses a request that has not been received whole, since this process is about to end."""
+        if self.closing or self.exchange is not None or self.download is not None or self.idle:
+            return
+        if self.discarding:
+            self.closing, self.discarding = True, False  # it has been answered
+            self.write_event.set()
+        else:
+            self._reject(503, "leaving")
+
     def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
         """Ends requests and responses that take too long, and connections idle for over `idle_timeout` s."""
         if self.upload is not None or self.discarding:
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -12,16 +12,16 @@
 
 from thornladder.node import streams
 from thornladder.node.clients.connection import ClientConnection, ServerState
+from thornladder.node.shutdown import ShutdownSchedule
 from thornladder.node.tasks import Tasks
 
 
 class Front:
     """The accepting side of a node: its client connections, their number, and their orderly end."""
 
-    # Clients may still connect for about this long after a drain has begun.
-    ACCEPT_AFTER_DRAIN_SECONDS = 0.5
     ACCEPT_QUIET_SECONDS = 0.05  # without a new connection: the kernel's accept queue is empty
-    SETTLE_SECONDS = 0.1  # for the first bytes on the connections accepted last
+    SETTLE_SECONDS = 0.1  # for the first bytes on the connections accepted last, and for the last answers
+    DRAIN_POLL_SECONDS = 0.02  # between looks at what is still open
     # Share of the connection limit from which idle connections are closed and the backlog is cut.
     NEAR_LIMIT_SHARE = 0.9
     BACKLOG = 1024  # connections that the kernel may queue before this node accepts them
@@ -160,29 +160,37 @@
         finally:
             self.connection_count -= 1
 
-    async def drain(self) -> None:
-        """Drains: accepts late connections, answers requests in flight and closes idle connections.
+    async def drain(self, schedule: ShutdownSchedule, end_unanswered: Callable[[], None]) -> None:
+        """Accepts late connections, then closes idle ones, until each request received has its answer.
 
-        Requests in flight are answered within the longest cut-off; a request not received completely by then
-        was never started.
+        Returns by `schedule.exit_by`. What has no answer by `schedule.answer_by` gets one at once: a request
+        that is incomplete then is refused, and `end_unanswered` ends the invocations in flight.
         """
-        self.server_state.draining, self.is_open = True, False
-        with anyio.move_on_after(self.ACCEPT_AFTER_DRAIN_SECONDS + self.server_state.max_cut_off):
-            if not self.listener_is_shared:
-                await anyio.sleep(self.ACCEPT_AFTER_DRAIN_SECONDS)
-            if self.accept_scope is not None:
-                self.accept_scope.cancel()
-            if self.listener_is_shared:
-                # Lets requests in transit on kept connections arrive before these are closed.
-                await anyio.sleep(self.ACCEPT_AFTER_DRAIN_SECONDS)
-            await anyio.sleep(self.ACCEPT_QUIET_SECONDS + self.SETTLE_SECONDS)
-            self._log_connections("closing idle connections")
-            while not all(connection.last_response_sent for connection in self.connections):
-                self._close_oldest_idle(len(self.connections))
-                await anyio.sleep(0.02)
+        self.server_state.shutdown, self.is_open = schedule, False
+        if not self.listener_is_shared:
+            await self._sleep_until(schedule.accept_until)
+        if self.accept_scope is not None:
+            self.accept_scope.cancel()
+        # Lets requests in transit on kept connections arrive before these are closed.
+        await self._sleep_until(schedule.accept_until + self.ACCEPT_QUIET_SECONDS + self.SETTLE_SECONDS)
+        self._log_connections("closing idle connections")
+        while not self._drained and self.server_state.clock() < schedule.exit_by - self.SETTLE_SECONDS:
+            if self.server_state.clock() >= schedule.answer_by:
+                end_unanswered()
+                for connection in list(self.connections):
+                    self._run_isolated(connection, connection.refuse_incomplete)
+            self._close_oldest_idle(len(self.connections))
+            await anyio.sleep(self.DRAIN_POLL_SECONDS)
         self._log_connections("drained")
         await anyio.sleep(self.SETTLE_SECONDS)
 
+    @property
+    def _drained(self) -> bool:
+        return all(connection.last_response_sent for connection in self.connections)
+
+    async def _sleep_until(self, time: float) -> None:
+        await anyio.sleep(max(time - self.server_state.clock(), 0.0))
+
     def _log_connections(self, event: str) -> None:
         """Logs a step of the drain with the number of connections in each state."""
         self.server_state.log.info(
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -86,6 +87,7 @@
         self.exchanges: dict[str, Exchange] = {}  # invocations in flight by id
         self.pending_timers: Counter[str] = Counter()  # by name
         self.last_heartbeat = self.started_at
+        self.answer_by = math.inf  # clock time of the last answer, once the process has been told to end
         self.list_stale_since: float | None = None  # while the list is stale, nothing is pushed
         self.node: decide.Node
         self.pushes: PushDispatcher
@@ -121,6 +123,7 @@
     # Calls of the decision module (`interface.Host`).
 
     def push(self, invocation: str, backend: str, timeout: float, send_within: float) -> None:
+        timeout = min(timeout, self._time_until_exit)
         self.pushes.start_push(self.exchanges[invocation], backend, timeout, send_within)
 
     def cancel(self, invocation: str, number: int) -> None:
@@ -175,15 +178,34 @@
         """Seconds that the module may use of the client's `time_budget`.
 
         Prevents responses past the cut-off when the CPU is short: the invocation has waited unread, and its
-        response will wait for as long as the event loop lags.
+        response will wait for as long as the event loop lags. Prevents responses that the process does not
+        live to send.
         """
-        return max(
+        time_left = (
             time_budget
             - self.RESPONSE_MARGIN_SECONDS
             - unread_seconds
-            - min(self.lag.peak, self.MAX_LAG_SHARE * time_budget),
-            0.0,
+            - min(self.lag.peak, self.MAX_LAG_SHARE * time_budget)
         )
+        return max(min(time_left, self._time_until_exit), 0.0)
+
+    @property
+    def _time_until_exit(self) -> float:
+        """Seconds until a last response has to be ready; inf unless the process has been told to end."""
+        return self.answer_by - self.RESPONSE_MARGIN_SECONDS - self.clock()
+
+    def begin_shutdown(self, answer_by: float) -> None:
+        """Lets no invocation, neither those in flight nor later ones, take longer than until `answer_by`."""
+        self.answer_by = answer_by
+        deadline = anyio.current_time() + self._time_until_exit
+        for exchange in self.unanswered:
+            for scope in exchange.push_scopes:
+                scope.deadline = min(scope.deadline, deadline)
+
+    def end_unanswered(self) -> None:
+        """Terminates every invocation that has no final answer."""
+        for exchange in self.unanswered:
+            self._terminate_lost(exchange)
 
     def body_received(self, exchange: Exchange) -> None:
         """The last byte of a streamed body was received; the client's time counts from now on."""
@@ -352,13 +374,17 @@
         terminated here, so that no client is left waiting.
         """
         if not self._dispatch(event, *args):
-            self._dispatch(self.node.on_lost, exchange.invocation.id)
-            self._deliver(exchange, ClientResponse(FinalOutcome.TERMINATED))
-            exchange.cancel_pushes()
+            self._terminate_lost(exchange)
         if exchange.pending_pushes == 0:
             self._deliver(exchange, ClientResponse(FinalOutcome.TERMINATED))
             self.exchanges.pop(exchange.invocation.id, None)
 
+    def _terminate_lost(self, exchange: Exchange) -> None:
+        """Terminates an invocation that the module does not end."""
+        self._dispatch(self.node.on_lost, exchange.invocation.id)
+        self._deliver(exchange, ClientResponse(FinalOutcome.TERMINATED))
+        exchange.cancel_pushes()
+
     def _deliver(self, exchange: Exchange, answer: ClientResponse) -> None:
         """Hands over the final response; an error there must not fail the push that received it."""
         try:
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -34,6 +34,7 @@
 from thornladder.node.maintenance import Maintenance
 from thornladder.node.messages import DiscoveryResponse
 from thornladder.node.operations import Operations
+from thornladder.node.shutdown import ShutdownSchedule
 from thornladder.node.streams import BodyBudget
 from thornladder.node.tasks import Tasks
 from thornladder.settings import Config
@@ -378,8 +379,10 @@
     front: Front, host: NodeHost, tasks: Tasks, log: Any, extensions: Sequence[NodeExtension]
 ) -> None:
     signalled_at = host.clock()
+    schedule = ShutdownSchedule(signalled_at, front.server_state.longest_deadline)
     try:
-        await front.drain()
+        host.begin_shutdown(schedule.answer_by)
+        await front.drain(schedule, host.end_unanswered)
         for extension in extensions:
             with anyio.move_on_after(EXTENSION_STOP_SECONDS):
                 await extension.stop(front.server_state.has_successor)
