Seeded soak: real nodes shut down under signals, clients that send until the kill

Clients use open connections until SIGKILL, which comes at the platform's earliest, the longest deadline and 0.7 s after the first signal.

The checker holds every request to one whole answer in time, or a reset that shows that it was left unread on a connection used before; once-only requests run once at most; processes end by themselves with exit code 0 and log no error. Bounds grow by the time that the machine itself was late.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # What a newcomer needs: build, test, lint, run.
 
-.PHONY: build test lint run try measure-membership measure-rollout measure-budgets measure-told measure-cold clean
+.PHONY: build test lint run try measure-membership measure-rollout measure-budgets measure-told measure-cold soak clean
 
 build: .venv/requirements.done
 
@@ -47,5 +47,9 @@
 measure-rollout: .venv-dev/done
 	.venv-dev/bin/python -m thornladder.measures.rollout $(if $(FULL),--full)
 
+# Some four minutes: 50 seeds of shutdowns of real processes. SEEDS and FIRST choose others.
+soak: .venv-dev/done
+	.venv-dev/bin/python -m thornladder.measures.soak --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
+
 clean:
 	rm -rf .venv .venv-dev
--- /dev/null
+++ b/thornladder/measures/soak.py
@@ -0,0 +1,74 @@
+"""`make soak`: seeded shutdowns of real node processes under signals, with clients that send until the kill.
+
+Each seed draws a fleet of 2 to 8 nodes, its longest deadline, faulty backends, signals in series, and for
+some a crowd of idle connections (`rig/soak/plan.py`). SIGKILL comes at the platform's earliest. Every request
+has to get one whole answer in time, or to be left unread on a connection that had been used; a once-only one
+runs once at most; every process has to end by itself.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+import tempfile
+from collections import Counter
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from pathlib import Path
+from typing import NamedTuple
+
+import anyio
+
+from thornladder.measures.points import Points
+from thornladder.rig.soak.plan import draw_plan
+from thornladder.rig.soak.play import Soak
+
+
+class SoakResult(NamedTuple):
+    """Outcome of one seed."""
+
+    seed: int
+    violations: list[str]
+    counts: dict[str, int]  # requests by how they ended
+    processes: int  # that were shut down
+    lag: float  # seconds by which the machine was late in all
+
+
+def play_seed(seed: int, folder: str = "") -> SoakResult:
+    """Plays one seed. With a `folder` the logs of the nodes are kept there."""
+    with tempfile.TemporaryDirectory() as temporary:
+        soak = Soak(draw_plan(seed), Path(folder or temporary) / f"seed-{seed}")
+        records = anyio.run(soak.play, backend_options={"use_uvloop": True})
+    return SoakResult(seed, records.violations(), records.counts(), len(records.processes), soak.lag.total)
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Runs the measurement and prints its points; returns the exit code."""
+    parser = argparse.ArgumentParser(prog="soak", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=50, help="how many seeds")
+    parser.add_argument("--first", type=int, default=0, help="the first seed")
+    parser.add_argument("--jobs", type=int, default=3, help="how many seeds at a time")
+    parser.add_argument("--logs", default="", help="folder in which the logs of the nodes are kept")
+    options = parser.parse_args(arguments)
+    seeds = range(options.first, options.first + options.seeds)
+    points, totals, processes, broken, most_lag = Points("soak"), Counter[str](), 0, [], 0.0
+    with ProcessPoolExecutor(options.jobs) as pool:
+        for result in pool.map(partial(play_seed, folder=options.logs), seeds):
+            totals.update(result.counts)
+            processes += result.processes
+            most_lag = max(most_lag, result.lag)
+            broken += [result.seed] if result.violations else []
+            print(f"seed {result.seed}: {result.counts}, lag {result.lag:.2f} s", file=sys.stderr, flush=True)
+            for violation in result.violations:
+                print(f"seed {result.seed}: VIOLATION {violation}", file=sys.stderr, flush=True)
+    name = f"{seeds[0]}-{seeds[-1]}"
+    points.record("requests", sum(totals.values()), name, ends=dict(sorted(totals.items())))
+    points.record("shutdowns", processes, name)
+    points.record("most seconds by which the machine was late in a seed", most_lag, name)
+    points.at_most("seeds in which a rule was broken", len(broken), 0, name, broken=broken)
+    return points.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/thornladder/rig/soak/client.py
@@ -0,0 +1,264 @@
+"""Clients on raw sockets, which see whether a node ended a connection with a request read or unread."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Protocol
+
+import anyio
+
+from thornladder.rig.soak.records import End, RequestRecord, SoakRecords
+from thornladder.settings import Address
+
+READ_BYTES = 65536
+CONNECT_SECONDS = 0.5
+# After the end of the answers, for the reset that shows that the node closed over unread bytes.
+RESET_WAIT_SECONDS = 1.0
+LARGE_BODY_BYTES = 200 * 1024
+UPLOAD_PIECES = 8
+
+
+@dataclass
+class Offering:
+    """What clients know of a class of requests."""
+
+    name: str
+    method: str
+    deadline: float  # seconds
+
+
+class ConnectionLost(Exception):
+    """The node ended the connection; `was_reset`: with bytes of this client unread."""
+
+    def __init__(self, was_reset: bool) -> None:
+        super().__init__("reset" if was_reset else "closed")
+        self.was_reset = was_reset
+
+
+class RawConnection:
+    """A client's connection, without any buffering or reaction of its own to its end."""
+
+    def __init__(self, connection: socket.socket) -> None:
+        self.socket = connection
+        self.requests = 0  # sent so far
+        self.buffer = b""
+
+    @classmethod
+    async def open(cls, address: Address) -> RawConnection:
+        """Connects to a node; raises OSError, among them TimeoutError."""
+        connection = socket.socket()
+        connection.setblocking(False)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            with anyio.fail_after(CONNECT_SECONDS):
+                await asyncio.get_running_loop().sock_connect(connection, address)
+        except BaseException:
+            connection.close()
+            raise
+        return cls(connection)
+
+    async def send(self, data: bytes) -> None:
+        """Sends bytes; raises OSError if the connection has ended."""
+        await asyncio.get_running_loop().sock_sendall(self.socket, data)
+
+    async def receive(self) -> None:
+        """Reads once; raises ConnectionLost at the end of the stream."""
+        try:
+            data = await asyncio.get_running_loop().sock_recv(self.socket, READ_BYTES)
+        except OSError:
+            raise ConnectionLost(True) from None
+        if not data:
+            raise ConnectionLost(await self._reset_follows())
+        self.buffer += data
+
+    async def _reset_follows(self) -> bool:
+        poller = select.poll()
+        poller.register(self.socket, select.POLLERR | select.POLLHUP)
+        with anyio.move_on_after(RESET_WAIT_SECONDS):
+            while True:
+                events = sum(events for _, events in poller.poll(0))
+                if events & select.POLLERR or self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                    return True
+                await anyio.sleep(0.01)
+        return False
+
+    def ended(self) -> bool:
+        """Whether the node has ended the connection, or sent something unasked."""
+        poller = select.poll()
+        poller.register(self.socket, select.POLLIN)
+        return bool(poller.poll(0))
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self.socket.close()
+
+
+class Target(Protocol):
+    """The node that a client sends to."""
+
+    number: int
+    address: Address
+
+    def offerings(self) -> list[Offering]:
+        """The classes of requests, by the settings in force."""
+        ...
+
+    def connectable(self) -> bool:
+        """Whether new connections may be opened."""
+        ...
+
+
+class SoakClock(Protocol):
+    """Time as the soak counts it."""
+
+    def now(self) -> float:
+        """Seconds since the start of the soak."""
+        ...
+
+    def lost_seconds(self) -> float:
+        """Seconds by which the machine has been late in all so far."""
+        ...
+
+
+class SoakClient:
+    """Sends requests to one node, one at a time, on whatever connection stays open."""
+
+    def __init__(
+        self, name: str, target: Target, records: SoakRecords, rng: Random, clock: SoakClock
+    ) -> None:  # fmt: skip
+        self.name, self.target, self.records, self.rng, self.clock = name, target, records, rng, clock
+        self.connection: RawConnection | None = None
+        self.count = 0
+
+    async def run(self, until: Callable[[], bool]) -> None:
+        """Sends requests until `until` is true; answers that are owed then are still awaited."""
+        try:
+            while not until():
+                await anyio.sleep(
+                    self.rng.choice((0.0, self.rng.uniform(0.0, 0.08), self.rng.uniform(0.0, 0.5)))
+                )
+                if await self._connect():
+                    await self._request()
+        finally:
+            self._drop()
+
+    async def _connect(self) -> bool:
+        # Half of the clients notice the end of a resting connection, the others find out by sending.
+        if self.connection is not None and self.rng.random() < 0.5 and self.connection.ended():
+            self._drop()
+        if self.connection is None and not self.target.connectable():
+            await anyio.sleep(0.05)
+        elif self.connection is None:
+            try:
+                self.connection = await RawConnection.open(self.target.address)
+            except OSError:
+                await anyio.sleep(0.05)
+        return self.connection is not None
+
+    def _drop(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+    async def _request(self, is_repeat: bool = False) -> None:
+        """Sends one request; one that the node left unread is sent again, once, on a new connection."""
+        assert self.connection is not None
+        offering = self.rng.choice(self.target.offerings())
+        self.count += 1
+        record = RequestRecord(
+            f"{self.name}-{self.count}",
+            offering.name,
+            self.target.number,
+            offering.deadline,
+            reused=self.connection.requests > 0,
+        )
+        self.records.requests.append(record)
+        delay_before = self.clock.lost_seconds()
+        try:
+            await self._exchange(self.connection, offering, record)
+        except ConnectionLost as error:
+            cut = bool(self.connection.buffer)
+            record.end = End.CUT if cut else End.RESET if error.was_reset else End.CLOSED
+        record.ended_at = record.ended_at or self.clock.now()
+        record.machine_delay = self.clock.lost_seconds() - delay_before
+        if record.end is not End.ANSWERED:
+            self._drop()
+        if record.end is End.RESET and not is_repeat and await self._connect():
+            await self._request(is_repeat=True)
+
+    async def _exchange(self, connection: RawConnection, offering: Offering, record: RequestRecord) -> None:
+        connection.buffer = b""
+        connection.requests += 1
+        try:
+            await self._send(connection, offering, record)
+        except OSError:
+            # A node that refuses a request before its end answers it all the same.
+            if not connection.ended():
+                return
+        if record.end is End.LEFT:
+            return
+        sent = record.sent_at > 0.0
+        with anyio.move_on_after(record.deadline + 4.0) as scope:
+            while not self._answered(connection, record):
+                try:
+                    await connection.receive()
+                except ConnectionLost:
+                    if sent:
+                        raise
+                    return
+        if scope.cancelled_caught:
+            record.end = End.SILENT
+
+    async def _send(self, connection: RawConnection, offering: Offering, record: RequestRecord) -> None:
+        large = offering.method == "POST" and self.rng.random() < 0.03
+        body = b"x" * (LARGE_BODY_BYTES if large else 10 if offering.method == "POST" else 0)
+        head = (
+            f"{offering.method} /{offering.name} HTTP/1.1\r\nHost: a\r\nX-Call-Id: {record.id}\r\n"
+            f"X-Budget-Ms: {round(offering.deadline * 1000)}\r\nContent-Length: {len(body)}\r\n\r\n"
+        ).encode()
+        data = head + body
+        pieces = self._pieces(data, large)
+        for piece in pieces[:-1]:
+            await connection.send(piece)
+            await anyio.sleep(self.rng.uniform(0.0, 1.2 / len(pieces)))
+            if connection.ended():
+                raise BrokenPipeError
+        await connection.send(pieces[-1])
+        record.sent_at = self.clock.now()
+        if self.rng.random() < 0.02:
+            await anyio.sleep(self.rng.uniform(0.0, offering.deadline))
+            if not connection.ended():
+                connection.close()
+                record.end, record.ended_at = End.LEFT, self.clock.now()
+
+    def _pieces(self, data: bytes, large: bool) -> list[bytes]:
+        if large:
+            size = len(data) // UPLOAD_PIECES + 1
+            return [data[start : start + size] for start in range(0, len(data), size)]
+        if self.rng.random() < 0.15:
+            split = self.rng.randint(1, len(data) - 1)
+            return [data[:split], data[split:]]
+        return [data]
+
+    def _answered(self, connection: RawConnection, record: RequestRecord) -> bool:
+        """Takes in the answer if it is whole."""
+        head, separator, body = connection.buffer.partition(b"\r\n\r\n")
+        if not separator:
+            return False
+        status_line, *lines = head.split(b"\r\n")
+        headers = {
+            name.strip().lower(): value.strip() for name, _, value in (line.partition(b":") for line in lines)
+        }
+        if len(body) < int(headers.get(b"content-length", b"0")):
+            return False
+        record.status = int(status_line.split()[1])
+        record.body_id = body.split(b" ")[0].decode()
+        record.end, record.ended_at = End.ANSWERED, self.clock.now()
+        if headers.get(b"connection", b"").lower() == b"close" or not record.sent_at:
+            self._drop()
+        return True
--- /dev/null
+++ b/thornladder/rig/soak/plan.py
@@ -0,0 +1,136 @@
+"""Draws one soak from its seed: the fleet, its settings, the faults of its backends and the signals."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+KILL_SECONDS = 0.7  # after SIGTERM and the longest deadline: the platform's earliest SIGKILL
+MAX_DEADLINE_SECONDS = 3.0  # of the longest deadline, what the platform counts at most
+LONGEST_DEADLINES = (0.3, 0.4, 0.5, 0.7, 1.0, 1.5, 3.0)  # seconds
+MAX_HOLD_SECONDS = 0.15  # for which a process may get no CPU
+
+
+class Step(Enum):
+    """One thing that is done to a node process."""
+
+    TERMINATE = "SIGTERM"
+    INTERRUPT = "SIGINT"
+    RELOAD = "SIGHUP"
+    RELOAD_DEADLINES = "SIGHUP with other deadlines"
+    HOLD = "SIGSTOP, SIGCONT"  # for MAX_HOLD_SECONDS
+
+
+@dataclass(frozen=True)
+class Action:
+    """A step, and the pause before it in seconds."""
+
+    pause: float
+    step: Step
+
+
+@dataclass(frozen=True)
+class Shutdown:
+    """The life of one process: how long it serves, and what ends it."""
+
+    serving_seconds: float  # counted from readiness, or from the start if that is not awaited
+    await_readiness: bool
+    actions: tuple[Action, ...]
+
+
+class BackendMode(Enum):
+    """How a backend treats invocations."""
+
+    ANSWER = "answer"
+    SLOW = "slow"
+    HANG = "hang"
+    ERROR = "error"
+    REJECT = "reject"
+    RESET = "reset"
+    DEAD = "dead"  # refuses connections
+
+
+@dataclass(frozen=True)
+class ModeChange:
+    """A change of a backend's mode, `at` seconds after the start of the soak."""
+
+    at: float
+    mode: BackendMode
+
+
+@dataclass(frozen=True)
+class SoakPlan:
+    """Everything that a seed determines; what the processes make of it is not determined."""
+
+    seed: int
+    longest_deadline: float  # seconds
+    other_longest_deadline: float  # after a reload with other deadlines
+    shutdowns: tuple[tuple[Shutdown, ...], ...]  # by node
+    backends: tuple[tuple[ModeChange, ...], ...]
+    clients_per_node: int
+    crowd: int  # connections to each node that send nothing
+    descriptors: int  # limit of each node
+
+
+# Pauses are drawn anew for each of these series.
+SERIES: tuple[tuple[Step, ...], ...] = (
+    (Step.TERMINATE,),
+    (Step.TERMINATE,),
+    (Step.INTERRUPT,),
+    (Step.TERMINATE, Step.TERMINATE),
+    (Step.TERMINATE, Step.RELOAD),
+    (Step.RELOAD, Step.TERMINATE),
+    (Step.RELOAD, Step.RELOAD, Step.TERMINATE, Step.RELOAD),
+    (Step.RELOAD_DEADLINES, Step.TERMINATE),
+    (Step.TERMINATE, Step.RELOAD_DEADLINES),
+    (Step.TERMINATE, Step.HOLD),
+    (Step.RELOAD, Step.TERMINATE, Step.INTERRUPT, Step.HOLD),
+)
+
+
+def draw_plan(seed: int, max_nodes: int = 8, cycles: int = 2) -> SoakPlan:
+    """Draws a soak with 2 to `max_nodes` nodes, each of which is shut down `cycles` times."""
+    rng = Random(seed)
+    longest = LONGEST_DEADLINES[seed % len(LONGEST_DEADLINES)]
+    crowded = rng.random() < 0.3
+    shutdowns = tuple(
+        tuple(_draw_shutdown(rng) for _ in range(cycles)) for _ in range(rng.randint(2, max_nodes))
+    )
+    backends = tuple(_draw_modes(rng) for _ in range(rng.randint(3, 6)))
+    descriptors = rng.choice((128, 160, 256))
+    return SoakPlan(
+        seed=seed,
+        longest_deadline=longest,
+        other_longest_deadline=rng.choice(LONGEST_DEADLINES),
+        shutdowns=shutdowns,
+        backends=backends,
+        clients_per_node=rng.randint(6, 14),
+        crowd=round(0.7 * descriptors) if crowded else 0,
+        descriptors=descriptors,
+    )
+
+
+def _draw_shutdown(rng: Random) -> Shutdown:
+    amid_start = rng.random() < 0.1
+    actions: list[Action] = []
+    ending = False
+    for step in rng.choice(SERIES):
+        # Half of the signals come at once, the others at any time before the kill.
+        pause = rng.choice((0.0, rng.uniform(0.0, 0.9))) if ending else rng.uniform(0.0, 0.3)
+        actions.append(Action(pause, step))
+        ending = ending or step in (Step.TERMINATE, Step.INTERRUPT)
+    serving = rng.uniform(0.0, 0.6) if amid_start else rng.uniform(0.5, 2.0)
+    return Shutdown(serving, not amid_start, tuple(actions))
+
+
+def _draw_modes(rng: Random) -> tuple[ModeChange, ...]:
+    """A backend answers at first, and takes another mode each second or so."""
+    changes, at = [ModeChange(0.0, BackendMode.ANSWER)], 0.0
+    faulty = [mode for mode in BackendMode if mode is not BackendMode.ANSWER]
+    while at < 30.0:
+        at += rng.uniform(0.5, 2.0)
+        # Hanging backends are what keeps requests open until their deadline.
+        mode = rng.choice((BackendMode.ANSWER, BackendMode.HANG, BackendMode.HANG, rng.choice(faulty)))
+        changes.append(ModeChange(at, mode))
+    return tuple(changes)
--- /dev/null
+++ b/thornladder/rig/soak/records.py
@@ -0,0 +1,128 @@
+"""What clients and backends saw during a soak, and whether the rules held."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+ANSWER_GRACE_SECONDS = 0.5  # after a client's deadline; a later answer counts as none
+LEFT_GRACE_SECONDS = 0.1  # after a client has left, in which an attempt may still begin
+
+
+class End(Enum):
+    """How a request ended for its client."""
+
+    ANSWERED = "answered"
+    UNSENT = "unsent"  # the connection ended before its last byte was written
+    RESET = "reset"  # the node ended the connection with the request unread
+    CLOSED = "closed"  # the node ended the connection after reading the request
+    CUT = "cut"  # the connection ended within the answer
+    SILENT = "silent"  # neither an answer nor an end
+    LEFT = "left"  # its client closed the connection
+
+
+@dataclass
+class RequestRecord:
+    """One request on one connection, as its client saw it. Times are those of the soak, in seconds."""
+
+    id: str
+    offering: str
+    node: int
+    deadline: float  # seconds from `sent_at`
+    reused: bool  # whether the connection had carried a request before
+    sent_at: float = 0.0  # of the last byte; 0 if it was answered or ended before that was sent
+    ended_at: float = 0.0
+    end: End = End.UNSENT
+    status: int = 0
+    body_id: str = ""  # first word of the body of a 200
+    machine_delay: float = 0.0  # seconds by which the machine was late while it was open
+
+
+@dataclass
+class Attempt:
+    """A request that a backend received whole."""
+
+    at: float
+    offering: str
+    backend: int
+
+
+@dataclass
+class ProcessRecord:
+    """The end of one node process."""
+
+    node: int
+    signalled_at: float
+    kill_after: float  # seconds
+    ended_after: float  # seconds after the first signal to end
+    killed: bool
+    exit_code: int
+    expects_clean_exit: bool
+    log_errors: list[str] = field(default_factory=list)
+
+
+@dataclass
+class SoakRecords:
+    """All that was recorded in one soak."""
+
+    requests: list[RequestRecord] = field(default_factory=list)
+    attempts: dict[str, list[Attempt]] = field(default_factory=dict)
+    processes: list[ProcessRecord] = field(default_factory=list)
+    once_only: frozenset[str] = frozenset()  # offerings whose requests may run once at most
+    crowded: bool = False
+
+    def violations(self) -> list[str]:
+        """Describes each breach of a rule; empty if all rules held."""
+        found = [text for request in self.requests if (text := self._check_request(request))]
+        found += [text for process in self.processes if (text := self._check_process(process))]
+        for id, attempts in self.attempts.items():
+            if attempts[0].offering in self.once_only and len(attempts) > 1:
+                found.append(f"{id}: a once-only request ran {len(attempts)} times")
+        return found
+
+    def _check_request(self, request: RequestRecord) -> str | None:
+        attempts = self.attempts.get(request.id, [])
+        where = (
+            f"{request.id} {request.offering} at node {request.node}, sent {request.sent_at:.3f}, "
+            f"deadline {request.deadline:.3f}, ended {request.ended_at:.3f}, reused {request.reused}"
+        )
+        if request.end is End.ANSWERED:
+            late = request.ended_at - request.sent_at - request.machine_delay - request.deadline
+            if request.sent_at and late > ANSWER_GRACE_SECONDS:
+                return f"{where}: answered {late:.3f} s late"
+            if request.status == 200 and request.body_id != request.id:
+                return f"{where}: answered with the response to {request.body_id!r}"
+            if request.status == 503 and request.offering in self.once_only and attempts:
+                return f"{where}: refused, but it may have run"
+            return None
+        if request.end is End.LEFT:
+            latest = max((attempt.at for attempt in attempts), default=0.0)
+            late = latest - request.ended_at - request.machine_delay
+            return (
+                f"{where}: an attempt {late:.3f} s after its client left"
+                if late > LEFT_GRACE_SECONDS
+                else None
+            )
+        if request.end is End.UNSENT:
+            return None
+        if request.end is End.RESET and not attempts and (request.reused or self.crowded):
+            return None  # the client sends it again on another connection
+        return f"{where}: {request.end.value} without a whole answer, {len(attempts)} attempts"
+
+    def _check_process(self, process: ProcessRecord) -> str | None:
+        where = f"node {process.node}, signalled {process.signalled_at:.3f}"
+        if process.killed:
+            return f"{where}: still running {process.kill_after:.3f} s after the signal"
+        if process.expects_clean_exit and process.exit_code != 0:
+            return f"{where}: exit code {process.exit_code}"
+        if process.log_errors:
+            return f"{where}: {process.log_errors[0]}"
+        return None
+
+    def counts(self) -> dict[str, int]:
+        """Requests by how they ended, with the status of those answered."""
+        counts: dict[str, int] = {}
+        for request in self.requests:
+            key = str(request.status) if request.end is End.ANSWERED else request.end.value
+            counts[key] = counts.get(key, 0) + 1
+        return dict(sorted(counts.items()))
