End a shutdown only after accepting has ended, and bound that in time

Cause: Front.drain looked at Front.connections alone. Accepting goes on until no connection came for 0.05 s, which clients that go on connecting put off for ever, and a connection accepted last is not among Front.connections until its task has run; the log showed 'accepting': true, 'connections': 138 in 'drained'. So the process ended with requests just read in. Also, an error or lack of room while waiting for quiet counted as quiet, and a process that got no CPU saw the timer of 0.05 s before the connections that were queued.

A process told to end before it had begun to accept on its own socket now accepts what the kernel has queued there.

Front._accept_pending is now three functions; test_unforeseen plants its errors in two of them where it was one.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -4,6 +4,7 @@
 
 import copy
 import signal
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
@@ -53,3 +54,42 @@
         await client.stream.send(data[-1:])
         assert (await client.answer_to("late")).target in ("502", "503")
         assert await process.wait() == 0
+
+
+class SlowBackend(FakeServer):
+    """A backend that takes some time for each answer, and one request on each connection."""
+
+    ANSWER_SECONDS = 0.15
+
+    async def _serve_connection(self, stream: anyio.abc.SocketStream) -> None:
+        with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+            async with stream:
+                received = b""
+                while not received.endswith(b"\r\n\r\n"):
+                    received += await stream.receive()
+                await anyio.sleep(self.ANSWER_SECONDS)
+                await stream.send(reply(200))
+
+
+# Found by the soak: a process ended while it still accepted, and cut off the connections accepted last.
+async def test_connections_accepted_at_the_end_of_a_shutdown_are_answered(tmp_path: Path) -> None:
+    refused, answers = [], []
+
+    async def connect_and_ask(port: int, number: int) -> None:
+        try:
+            client = await connect(port)
+        except OSError:
+            refused.append(number)
+            return
+        answers.append((await client.ask(f"a{number}", "look", 500)).target)
+
+    backend = SlowBackend(lambda _: None)
+    async with running_node(tmp_path, backend, info=settings_with_deadline(0.5)) as (process, port):
+        process.send_signal(signal.SIGTERM)
+        await anyio.sleep(0.45)
+        async with anyio.create_task_group() as tasks:
+            for number in range(16):
+                tasks.start_soon(connect_and_ask, port, number)
+                await anyio.sleep(0.02)
+        assert await process.wait() == 0
+        assert len(refused) + len(answers) == 16 and set(answers) <= {"200", "502", "503"}
--- a/tests/test_unforeseen.py
+++ b/tests/test_unforeseen.py
@@ -49,7 +49,7 @@
             ),
             5,
         ),
-        (Front, ("_accept_pending", "_make_room", "sweep"), 3),
+        (Front, ("_wait_for_room", "_accept_queued", "_make_room", "sweep"), 3),
         (UpstreamConnection, ("round_trip", "close"), 5),
         (Pool, ("acquire", "close_expired", "_close_discarded"), 5),
         (PushDispatcher, ("on_list", "forget_departed", "_send"), 5),
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections.abc import Callable
 from contextlib import suppress
@@ -19,7 +20,8 @@
 class Front:
     """The accepting side of a node: its client connections, their number, and their orderly end."""
 
-    ACCEPT_QUIET_SECONDS = 0.05  # without a new connection: the kernel's accept queue is empty
+    ACCEPT_QUIET_SECONDS = 0.05  # without a new connection: no client connects any more
+    EMPTY_QUEUE_SECONDS = 0.25  # for which clients that go on connecting are accepted at most
     SETTLE_SECONDS = 0.1  # for the first bytes on the connections accepted last, and for the last answers
     DRAIN_POLL_SECONDS = 0.02  # between looks at what is still open
     # Share of the connection limit from which idle connections are closed and the backlog is cut.
@@ -67,6 +69,7 @@
         self.is_open = False  # whether new connections are accepted
         self.accepting = False  # whether `run` accepts connections, or those that are still queued
         self.accept_scope: anyio.CancelScope | None = None  # None until `run` is called
+        self.accept_deadline = math.inf  # of `accept_scope`, on the event loop's clock
         self.standby_since = 0.0
 
     async def run(self, listener: socket.socket) -> None:
@@ -74,21 +77,22 @@
 
         The queue of a shared socket is left to the process that stays.
         """
-        self.is_open = self.accepting = True
-        with anyio.CancelScope() as self.accept_scope:
+        self.accepting, self.is_open = True, not self.server_state.draining
+        with anyio.CancelScope(deadline=self.accept_deadline) as self.accept_scope:
             while True:
-                await self._accept_pending(listener)
-        drained = self.listener_is_shared
-        while not drained:
-            with anyio.move_on_after(self.ACCEPT_QUIET_SECONDS) as quiet_scope:
-                await self._accept_pending(listener)
-            drained = quiet_scope.cancelled_caught
+                await self._wait_for_room(listener)
+                await anyio.wait_readable(listener)
+                await self._accept_queued(listener)
+        if not self.listener_is_shared:
+            with anyio.move_on_after(self.EMPTY_QUEUE_SECONDS):
+                await self._accept_until_quiet(listener)
+            await self._accept_queued(listener)
         listener.close()
         self.accepting = False
         self.server_state.log.info("stopped accepting")
 
-    async def _accept_pending(self, listener: socket.socket) -> None:
-        """Waits for connections and accepts all that are pending; can only be cancelled while none are."""
+    async def _wait_for_room(self, listener: socket.socket) -> None:
+        """Waits until another connection may be accepted; closes silent or idle ones near the limit."""
         while self.connection_count > self.NEAR_LIMIT_SHARE * self.max_connections and self._make_room():
             await anyio.sleep(0.002)
         while self.connection_count >= self.max_connections:
@@ -99,33 +103,50 @@
             # A queued connection counts as accepted for its client: queue none that there is no room for.
             self.near_limit = near_limit
             listener.listen(1 if near_limit else self.BACKLOG)
-        await anyio.wait_readable(listener)
+
+    async def _accept_until_quiet(self, listener: socket.socket) -> None:
+        """Accepts connections until none has come for ACCEPT_QUIET_SECONDS."""
+        quiet = False
+        while not quiet:
+            await self._wait_for_room(listener)
+            with anyio.move_on_after(self.ACCEPT_QUIET_SECONDS) as quiet_scope:
+                await anyio.wait_readable(listener)
+            # A process that got no CPU sees its timers before its sockets: the queue says what has come.
+            count = self.connection_count
+            queue_empty = await self._accept_queued(listener)
+            quiet = quiet_scope.cancelled_caught and queue_empty and self.connection_count == count
+
+    async def _accept_queued(self, listener: socket.socket) -> bool:
+        """Accepts what the kernel has queued, as far as there is room; returns whether the queue is empty."""
         while self.connection_count < self.max_connections:
             try:
                 client_socket, _ = listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except BlockingIOError:
+                return True
+            except ConnectionAbortedError:
+                continue  # this client has left; others may be queued behind it
             except OSError as error:
                 self.server_state.log.warning("a connection could not be accepted", error=repr(error))
                 await anyio.sleep(0.05)
-                return
-            initial_data = self._read_initial(client_socket)
-            if initial_data is None:
-                client_socket.close()
-                continue
-            is_lagging = bool(initial_data) and self.server_state.is_lagging()
-            unread_seconds = streams.seconds_since_last_data(client_socket) if is_lagging else 0.0
-            if is_lagging and (
-                nack := self.server_state.early_shedder.nack(initial_data, unread_seconds, True)
-            ):
-                with suppress(OSError):
-                    client_socket.send(nack)  # fits the empty send buffer of a new connection
-                client_socket.close()
-                continue
-            self.connection_count += 1
-            self.tasks.start(
-                "a client's connection", self._serve, client_socket, initial_data, unread_seconds
-            )
+                return False
+            self._take_connection(client_socket)
+        return False
+
+    def _take_connection(self, client_socket: socket.socket) -> None:
+        """Serves an accepted connection in a task of its own, or refuses its request at once."""
+        initial_data = self._read_initial(client_socket)
+        if initial_data is None:
+            client_socket.close()
+            return
+        is_lagging = bool(initial_data) and self.server_state.is_lagging()
+        unread_seconds = streams.seconds_since_last_data(client_socket) if is_lagging else 0.0
+        if is_lagging and (nack := self.server_state.early_shedder.nack(initial_data, unread_seconds, True)):
+            with suppress(OSError):
+                client_socket.send(nack)  # fits the empty send buffer of a new connection
+            client_socket.close()
+            return
+        self.connection_count += 1
+        self.tasks.start("a client's connection", self._serve, client_socket, initial_data, unread_seconds)
 
     def _read_initial(self, client_socket: socket.socket) -> bytes | None:
         """Returns the bytes already received; None if the client has disconnected.
@@ -167,10 +188,10 @@
         that is incomplete then is refused, and `end_unanswered` ends the invocations in flight.
         """
         self.server_state.shutdown, self.is_open = schedule, False
-        if not self.listener_is_shared:
-            await self._sleep_until(schedule.accept_until)
+        accept_seconds = 0.0 if self.listener_is_shared else schedule.accept_until - self.server_state.clock()
+        self.accept_deadline = anyio.current_time() + accept_seconds
         if self.accept_scope is not None:
-            self.accept_scope.cancel()
+            self.accept_scope.deadline = self.accept_deadline
         # Lets requests in transit on kept connections arrive before these are closed.
         await self._sleep_until(schedule.accept_until + self.ACCEPT_QUIET_SECONDS + self.SETTLE_SECONDS)
         self._log_connections("closing idle connections")
@@ -186,7 +207,11 @@
 
     @property
     def _drained(self) -> bool:
-        return all(connection.last_response_sent for connection in self.connections)
+        return (
+            not self.accepting
+            and self.connection_count == len(self.connections)
+            and all(connection.last_response_sent for connection in self.connections)
+        )
 
     async def _sleep_until(self, time: float) -> None:
         await anyio.sleep(max(time - self.server_state.clock(), 0.0))
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -163,12 +163,14 @@
     front: Front, host: NodeHost, handover: Handover, tasks: Tasks, listener: socket.socket
 ) -> None:
     """Starts to accept clients; waits for the endpoint list first if another process of the node runs."""
-    while handover.other_processes and not host.list_known:
+    while handover.other_processes and not host.list_known and not front.server_state.draining:
         await anyio.sleep(0.02)
-    if front.server_state.draining:
+    if front.server_state.draining and front.listener_is_shared:
         return
-    handover.phase = Phase.SERVING
-    handover.sync(host)
+    # One's own socket has queued connections ever since it was opened.
+    if not front.server_state.draining:
+        handover.phase = Phase.SERVING
+        handover.sync(host)
     tasks.supervise("accepting", front.run, listener)
 
 
