Leave a request unread that crosses the close of its idle connection

Cause: ClientConnection._close_if_still_idle half-closes a connection with a recent answer and goes on reading for 0.3 s, dropping what comes. That is meant for bytes behind a last answer, so that no reset overtakes it; here the last answer is older, and what comes is a whole request.

Fix: reading stops with the decision to close, so the request stays in the kernel and the close resets the connection. The wait for the client's own end now looks at the socket, as nothing reads it any more. test_a_request_that_crosses_an_idle_close_is_left_unread failed before (no reset, 3 of 3) and passes (3 of 3).

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -10,9 +10,12 @@
 
 import anyio
 import pytest
-from harness import SETTINGS, FakeServer, ReceivedMessage, reply
+from harness import SETTINGS, FakeServer, LoopbackCluster, ReceivedMessage, reply, wait_until
 from test_process import connect, running_node
 
+from thornladder.node.clients.connection import ClientConnection
+from thornladder.rig.soak.client import ConnectionLost, RawConnection
+
 pytestmark = pytest.mark.anyio
 KILL_SECONDS = 0.7  # after SIGTERM and the longest deadline: the platform's earliest SIGKILL
 
@@ -93,3 +96,37 @@
                 await anyio.sleep(0.02)
         assert await process.wait() == 0
         assert len(refused) + len(answers) == 16 and set(answers) <= {"200", "502", "503"}
+
+
+@pytest.fixture
+def connections(monkeypatch: pytest.MonkeyPatch) -> list[ClientConnection]:
+    """The client connections of nodes in this process, in the order in which they were accepted."""
+    created: list[ClientConnection] = []
+    serve = ClientConnection.serve
+
+    async def record_and_serve(connection: ClientConnection) -> None:
+        created.append(connection)
+        await serve(connection)
+
+    monkeypatch.setattr(ClientConnection, "serve", record_and_serve)
+    return created
+
+
+# Found by the soak: a request that crossed the end of its idle connection was read and dropped.
+async def test_a_request_that_crosses_an_idle_close_is_left_unread(
+    connections: list[ClientConnection],
+) -> None:
+    async with LoopbackCluster(lambda _: reply(200)) as cluster:
+        client = await RawConnection.open(("127.0.0.1", cluster.port))
+        await client.send(request_bytes("a0", "look", 0.9))
+        await client.receive()
+        assert client.buffer.startswith(b"HTTP/1.1 200")
+        await wait_until(lambda: connections[0].idle)
+        connections[0].close_if_idle()
+        await wait_until(client.ended)
+        await client.send(request_bytes("a1", "look", 0.9))
+        with pytest.raises(ConnectionLost) as lost:
+            await client.receive()
+        assert lost.value.was_reset
+        assert [message.headers["x-call-id"] for message in cluster.backends[0].received] == ["a0"]
+        client.close()
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -100,6 +100,7 @@
     # For the client to read its last response and close; also how long after the last activity a response is
     # taken to be still in transit.
     LINGER_SECONDS = 0.3
+    LINGER_POLL_SECONDS = 0.05
     # While `closing`, this much is read and dropped so that no TCP reset overtakes the last response; after
     # that, reading stops.
     MAX_DISCARDED_BYTES = 256 * 1024
@@ -205,6 +206,9 @@
         if not self.idle or self.closing or has_unread_data(self.stream):
             return
         self.closing = True
+        # A request that crosses this close stays unread: the reset that follows tells its client to send it
+        # again.
+        streams.stop_reading(self.stream)
         if not (self.request_seen and self.server_state.clock() - self.last_activity < self.LINGER_SECONDS):
             self.scope.cancel()  # safe: no recent response that a reset could overtake
 
@@ -369,7 +373,9 @@
             # Half-closes, then waits for the client to close, or for LINGER_SECONDS: otherwise a reset could
             # overtake the response.
             await self.stream.send_eof()
-            await anyio.sleep(self.LINGER_SECONDS)
+            with anyio.move_on_after(self.LINGER_SECONDS):
+                while not self._client_left():
+                    await anyio.sleep(self.LINGER_POLL_SECONDS)
         except STREAM_CLOSED_ERRORS:
             pass
         self.scope.cancel()
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -92,6 +92,13 @@
     return stream
 
 
+def stop_reading(stream: SocketStream) -> None:
+    """Leaves whatever arrives from now on in the kernel; a close then resets the connection."""
+    transport = getattr(stream, "_transport", None)
+    if transport is not None and not transport.is_closing():
+        transport.pause_reading()
+
+
 def try_write(stream: SocketStream, data: bytes) -> bool:
     """Writes a few bytes without waiting; returns False, with nothing written, if that is not possible.
 
