Block SIGTERM and SIGINT until a starting node handles them

Callers that connected to a node that was told to end as it started got a reset in place of an answer: the kernel accepts connections from listen() on, and the signal's default action ended the process until its handlers stood, some milliseconds later.

Cause: __main__ blocked SIGHUP alone. Evidence: a process that gets SIGTERM right after listening, with a request queued, died with -15 and the client saw its connection reset.

Fix: all handled signals are blocked from the start of main until their handlers stand; the drain then accepts and answers what is queued. test_a_request_queued_before_sigterm_amid_the_start_is_answered failed before (3 of 3) and passes (3 of 3).

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,15 +3,30 @@
 from __future__ import annotations
 
 import copy
+import json
+import os
 import signal
-from contextlib import suppress
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
 import anyio
 import pytest
-from harness import SETTINGS, FakeServer, LoopbackCluster, ReceivedMessage, reply, wait_until
+from anyio.abc import Process
+from harness import (
+    SETTINGS,
+    FakeServer,
+    LoopbackCluster,
+    ReceivedMessage,
+    config,
+    list_line,
+    reply,
+    wait_until,
+)
 from test_process import connect, running_node
+from test_start import free_port
 
 from thornladder.node.clients.connection import ClientConnection
 from thornladder.rig.soak.client import ConnectionLost, RawConnection
@@ -98,6 +113,22 @@
         assert len(refused) + len(answers) == 16 and set(answers) <= {"200", "502", "503"}
 
 
+@asynccontextmanager
+async def scripted_node(folder: Path, document: dict[str, Any], script: str) -> AsyncIterator[Process]:
+    """Runs a Python script with this configuration file in a process of its own."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(document))
+    environment = {**os.environ, "TMPDIR": str(folder), "EDGE_CONFIG": str(path)}
+    process = await anyio.open_process([sys.executable, "-B", "-c", script], env=environment)
+    try:
+        yield process
+    finally:
+        with anyio.CancelScope(shield=True):
+            if process.returncode is None:
+                process.kill()
+            await process.aclose()
+
+
 @pytest.fixture
 def connections(monkeypatch: pytest.MonkeyPatch) -> list[ClientConnection]:
     """The client connections of nodes in this process, in the order in which they were accepted."""
@@ -130,3 +161,39 @@
         assert lost.value.was_reset
         assert [message.headers["x-call-id"] for message in cluster.backends[0].received] == ["a0"]
         client.close()
+
+
+# Runs a node that says when it listens, and goes on once told to, with a signal pending.
+LISTEN_THEN_SIGNAL = """
+import os, signal, sys
+from thornladder.__main__ import main
+from thornladder.node import service
+create_listener = service._create_listener
+
+def create_listener_and_signal(address):
+    listener = create_listener(address)
+    print("listening", flush=True)
+    sys.stdin.readline()
+    os.kill(os.getpid(), signal.SIGTERM)
+    return listener
+
+service._create_listener = create_listener_and_signal
+sys.exit(main())
+"""
+
+
+# Found by reading: SIGTERM between listening and handling signals cut off what the kernel had accepted.
+async def test_a_request_queued_before_sigterm_amid_the_start_is_answered(tmp_path: Path) -> None:
+    backend = FakeServer(lambda _: reply(200))
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(backend.serve)
+        document = config([list_line(0, backend.port)], free_port())
+        document["listen"] = f"127.0.0.1:{free_port()}"
+        async with scripted_node(tmp_path, document, LISTEN_THEN_SIGNAL) as process:
+            assert (await process.stdout.receive()).strip() == b"listening"
+            client = await connect(int(document["listen"].rpartition(":")[2]))
+            await client.send("early", "look", 900)
+            await process.stdin.send(b"\n")
+            assert (await client.answer()).target == "200"
+            assert await process.wait() == 0
+        tasks.cancel_scope.cancel()
--- a/thornladder/__main__.py
+++ b/thornladder/__main__.py
@@ -39,8 +39,9 @@
 
     0: clean exit; 1: OS error, such as an address in use; 2: missing or malformed configuration.
     """
-    # Blocked until the node handles it: SIGHUP would terminate a process that is still starting.
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    # Blocked until the node handles them: any of them would terminate a process that is still starting, with
+    # the connections that the kernel has accepted for it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, service.HANDLED_SIGNALS)
     path = os.environ.get("EDGE_CONFIG", "")
     if not path:
         print("thornladder: EDGE_CONFIG is not set", file=sys.stderr)
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -39,6 +39,7 @@
 from thornladder.node.tasks import Tasks
 from thornladder.settings import Config
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # For an extension to tell other nodes that this process exits; well within the time allowed for a shutdown.
 EXTENSION_STOP_SECONDS = 0.2
 # Between sweeps of the connections. A client may take 2.6 s to send a request and must be closed within 3 s.
@@ -361,8 +362,8 @@
     task_status: TaskStatus,
 ) -> None:
     leaving = False
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         task_status.started()
         async for signal_number in signals:
             if signal_number is signal.SIGHUP:
