Exit with code 0 when a signal comes amid the exit

Cause: the signal receiver is closed by Tasks.cancel_all, which restores the default actions while the process takes some more milliseconds to end.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -197,3 +197,29 @@
             assert (await client.answer()).target == "200"
             assert await process.wait() == 0
         tasks.cancel_scope.cancel()
+
+
+# Runs a node that gets this signal again after its last task has ended.
+SIGNAL_AT_EXIT = """
+import os, signal, sys, anyio
+from thornladder.__main__ import main
+run = anyio.run
+
+def run_and_signal(*args, **kwargs):
+    run(*args, **kwargs)
+    os.kill(os.getpid(), signal.{name})
+
+anyio.run = run_and_signal
+sys.exit(main())
+"""
+
+
+# Found by the soak: SIGHUP as a drained process exits killed it, and a restart was taken for a crash.
+@pytest.mark.parametrize("name", ["SIGHUP", "SIGTERM", "SIGINT"])
+async def test_a_signal_amid_the_exit_does_not_change_the_exit_code(name: str, tmp_path: Path) -> None:
+    document = config([], free_port())
+    document["listen"] = f"127.0.0.1:{free_port()}"
+    async with scripted_node(tmp_path, document, SIGNAL_AT_EXIT.format(name=name)) as process:
+        assert b'"serving"' in await process.stderr.receive()
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -399,4 +399,6 @@
                 time_left=round(exchange.received_at + exchange.time_budget - host.clock(), 3),
             )
     finally:
+        # From here on there is nothing left that a signal could ask for, and nobody to handle one.
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
         tasks.cancel_all()
