--- a/thornladder/__main__.py
+++ b/thornladder/__main__.py
@@ -17,6 +17,7 @@
 from thornladder.node import service
 from thornladder.node.companion import NodeExtension
 from thornladder.node.messages import EMPTY_LIST, decode_list
+from thornladder.node.termination import HANDLED_SIGNALS
 
 
 def configure_json_logging() -> None:
@@ -41,7 +42,7 @@
     """
     # Blocked until the node handles them: any of them would terminate a process that is still starting, with
     # the connections that the kernel has accepted for it.
-    signal.pthread_sigmask(signal.SIG_BLOCK, service.HANDLED_SIGNALS)
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     path = os.environ.get("EDGE_CONFIG", "")
     if not path:
         print("thornladder: EDGE_CONFIG is not set", file=sys.stderr)
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import socket
 from collections.abc import Sequence
 from dataclasses import fields, replace
@@ -10,7 +9,6 @@
 from typing import Any, NamedTuple
 
 import anyio
-from anyio.abc import TaskStatus
 
 from thornladder import settings
 from thornladder.fields import MalformedError
@@ -34,14 +32,11 @@
 from thornladder.node.maintenance import Maintenance
 from thornladder.node.messages import DiscoveryResponse
 from thornladder.node.operations import Operations
-from thornladder.node.shutdown import ShutdownSchedule
 from thornladder.node.streams import BodyBudget
 from thornladder.node.tasks import Tasks
+from thornladder.node.termination import Termination, handle_signals
 from thornladder.settings import Config
 
-HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-# For an extension to tell other nodes that this process exits; well within the time allowed for a shutdown.
-EXTENSION_STOP_SECONDS = 0.2
 # Between sweeps of the connections. A client may take 2.6 s to send a request and must be closed within 3 s.
 SWEEP_SECONDS = 0.15
 RESERVED_DESCRIPTORS = 24  # a dozen for other things than client and backend connections, and a dozen spare
@@ -140,7 +135,10 @@
         reload = ConfigReloader(path, config, ReloadTargets(host, server_state, pushes, watch, handover), log)
         for extension in extensions:
             extension.start(context)
-        await group.start(_handle_signals, front, host, reload, handover, tasks, log, extensions)
+        termination = Termination(
+            front, host, partial(handover.announce_leaving, front), tasks, log, extensions
+        )
+        await group.start(handle_signals, termination, reload, log)
         tasks.start("opening the listener", _start_accepting, front, host, handover, tasks, listener)
         if admin_listener:
             admin = AdminServer(
@@ -348,57 +346,3 @@
         pushes.drain_grace, pushes.soft_removal = config.transport.drain_grace, config.transport.soft_removal
         pushes.pool.set_timeouts(config.transport.backend_idle_timeout, config.transport.connect_timeout)
         self.log.info("settings applied", offerings=sorted(host.node.offerings))
-
-
-async def _handle_signals(
-    front: Front,
-    host: NodeHost,
-    reload: ConfigReloader,
-    handover: Handover,
-    tasks: Tasks,
-    log: Any,
-    extensions: Sequence[NodeExtension],
-    *,
-    task_status: TaskStatus,
-) -> None:
-    leaving = False
-    with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
-        task_status.started()
-        async for signal_number in signals:
-            if signal_number is signal.SIGHUP:
-                try:
-                    reload()
-                except Exception:
-                    log.exception("reloading the configuration failed")
-            elif not leaving:
-                leaving = True
-                handover.announce_leaving(front)
-                log.info("leaving", signal=signal_number.name)
-                tasks.start("leaving", _shut_down, front, host, tasks, log, extensions)
-
-
-async def _shut_down(
-    front: Front, host: NodeHost, tasks: Tasks, log: Any, extensions: Sequence[NodeExtension]
-) -> None:
-    signalled_at = host.clock()
-    schedule = ShutdownSchedule(signalled_at, front.server_state.longest_deadline)
-    try:
-        host.begin_shutdown(schedule.answer_by)
-        await front.drain(schedule, host.end_unanswered)
-        for extension in extensions:
-            with anyio.move_on_after(EXTENSION_STOP_SECONDS):
-                await extension.stop(front.server_state.has_successor)
-        log.info("left", seconds=round(host.clock() - signalled_at, 3))
-        for exchange in host.unanswered:
-            log.error(
-                "an invocation was left unanswered",
-                id=exchange.invocation.id,
-                offering=exchange.invocation.offering,
-                received_after_signal=round(exchange.received_at - signalled_at, 3),
-                time_left=round(exchange.received_at + exchange.time_budget - host.clock(), 3),
-            )
-    finally:
-        # From here on there is nothing left that a signal could ask for, and nobody to handle one.
-        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
-        tasks.cancel_all()
--- /dev/null
+++ b/thornladder/node/termination.py
@@ -0,0 +1,97 @@
+"""Signals of a node's process, and its orderly end: each request that it has taken gets its answer first."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import anyio
+from anyio.abc import TaskStatus
+
+from thornladder.node.clients.front import Front
+from thornladder.node.companion import NodeExtension
+from thornladder.node.host import NodeHost
+from thornladder.node.shutdown import ShutdownSchedule
+from thornladder.node.tasks import Tasks
+
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+# For extensions to tell other nodes that this process exits; well within the time allowed for a shutdown.
+EXTENSION_STOP_SECONDS = 0.2
+
+
+class Termination:
+    """Ends a node's process once it is told to: drains it, stops its extensions, cancels all tasks."""
+
+    def __init__(
+        self,
+        front: Front,
+        host: NodeHost,
+        announce_leaving: Callable[[], None],
+        tasks: Tasks,
+        log: Any,
+        extensions: Sequence[NodeExtension],
+    ) -> None:
+        """`announce_leaving` tells the node's other processes; it is called before the drain begins."""
+        self.front, self.host, self.announce_leaving = front, host, announce_leaving
+        self.tasks, self.log, self.extensions = tasks, log, extensions
+        self.begun = False
+
+    def begin(self, signal_name: str) -> None:
+        """Starts the shutdown; does nothing if it has begun."""
+        if self.begun:
+            return
+        self.begun = True
+        schedule = ShutdownSchedule(self.host.clock(), self.front.server_state.longest_deadline)
+        self.announce_leaving()
+        self.log.info("leaving", signal=signal_name)
+        self.tasks.start("leaving", self._run, schedule)
+
+    async def _run(self, schedule: ShutdownSchedule) -> None:
+        try:
+            self.host.begin_shutdown(schedule.answer_by)
+            await self._drain(schedule)
+            await self._stop_extensions()
+            self._log_end(schedule)
+        finally:
+            # From here on there is nothing left that a signal could ask for, and nobody to handle one.
+            signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+            self.tasks.cancel_all()
+
+    async def _drain(self, schedule: ShutdownSchedule) -> None:
+        await self.front.drain(schedule, self.host.end_unanswered)
+
+    async def _stop_extensions(self) -> None:
+        has_successor = self.front.server_state.has_successor
+        for extension in self.extensions:
+            with anyio.move_on_after(EXTENSION_STOP_SECONDS):
+                await extension.stop(has_successor)
+
+    def _log_end(self, schedule: ShutdownSchedule) -> None:
+        now = self.host.clock()
+        for exchange in self.host.unanswered:
+            self.log.error(
+                "an invocation was left unanswered",
+                id=exchange.invocation.id,
+                offering=exchange.invocation.offering,
+                received_after_signal=round(exchange.received_at - schedule.signalled_at, 3),
+                time_left=round(exchange.received_at + exchange.time_budget - now, 3),
+            )
+        self.log.info("left", seconds=round(now - schedule.signalled_at, 3))
+
+
+async def handle_signals(
+    termination: Termination, reload: Callable[[], None], log: Any, *, task_status: TaskStatus
+) -> None:
+    """Reloads the configuration on SIGHUP and shuts down on SIGTERM or SIGINT, until it is cancelled."""
+    with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+        task_status.started()
+        async for signal_number in signals:
+            if signal_number is not signal.SIGHUP:
+                termination.begin(signal_number.name)
+                continue
+            try:
+                reload()
+            except Exception:
+                log.exception("reloading the configuration failed")
