Go on answering when a step of the shutdown fails

Callers in flight lost their answers when a step of the shutdown failed: an error as the process tells its siblings that it leaves (a folder that fails with EIO) ended the signal task and with it the node; an error while draining went straight to Tasks.cancel_all.

Evidence: with OSError planted in Handover.announce_leaving, Front._log_connections or Front._close_oldest_idle the client of a request in flight saw its connection end at once.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -25,6 +25,7 @@
     reply,
     wait_until,
 )
+from test_end_crossings import GatedBackend
 from test_process import connect, running_node
 from test_start import free_port
 
@@ -238,3 +239,41 @@
         transport = connections[0].stream._transport
         transport.get_protocol().data_received(request_bytes("a1", "look", 0.9))
         assert (await client.answer_to("a1")).target == "200"
+
+
+# Runs a node in which one step of the shutdown fails.
+FAILING_STEP = """
+import sys
+from thornladder.__main__ import main
+from thornladder.node import service
+from thornladder.node.clients.front import Front
+
+def fail(*args):
+    raise OSError(5, "Input/output error")
+
+{step} = fail
+sys.exit(main())
+"""
+
+
+# Found by reading: an error in a step of the shutdown ended the node with its requests unanswered.
+@pytest.mark.parametrize(
+    "step", ["service.Handover.announce_leaving", "Front._log_connections", "Front._close_oldest_idle"]
+)
+async def test_an_error_amid_a_shutdown_leaves_no_request_unanswered(step: str, tmp_path: Path) -> None:
+    backend = GatedBackend(lambda _: reply(200))
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(backend.serve)
+        document = config([list_line(0, backend.port)], free_port())
+        document["listen"] = f"127.0.0.1:{free_port()}"
+        async with scripted_node(tmp_path, document, FAILING_STEP.format(step=step)) as process:
+            assert b'"serving"' in await process.stderr.receive()
+            client = await connect(int(document["listen"].rpartition(":")[2]))
+            await client.send("a", "pay", 900, b"x")
+            await wait_until(lambda: backend.connections)
+            process.send_signal(signal.SIGTERM)
+            await anyio.sleep(0.75)  # past the closing of idle connections
+            backend.gate.set()
+            assert (await client.answer()).target == "200"
+            assert await process.wait() == 0
+        tasks.cancel_scope.cancel()
--- a/thornladder/node/termination.py
+++ b/thornladder/node/termination.py
@@ -18,6 +18,7 @@
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 # For extensions to tell other nodes that this process exits; well within the time allowed for a shutdown.
 EXTENSION_STOP_SECONDS = 0.2
+POLL_SECONDS = 0.02  # between looks at what is unanswered, if the connections cannot be drained
 
 
 class Termination:
@@ -43,12 +44,12 @@
             return
         self.begun = True
         schedule = ShutdownSchedule(self.host.clock(), self.front.server_state.longest_deadline)
-        self.announce_leaving()
         self.log.info("leaving", signal=signal_name)
         self.tasks.start("leaving", self._run, schedule)
 
     async def _run(self, schedule: ShutdownSchedule) -> None:
         try:
+            self._announce()
             self.host.begin_shutdown(schedule.answer_by)
             await self._drain(schedule)
             await self._stop_extensions()
@@ -58,8 +59,22 @@
             signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
             self.tasks.cancel_all()
 
+    def _announce(self) -> None:
+        try:
+            self.announce_leaving()
+        except Exception:
+            self.log.exception("the other processes of this node could not be told")
+
     async def _drain(self, schedule: ShutdownSchedule) -> None:
-        await self.front.drain(schedule, self.host.end_unanswered)
+        try:
+            await self.front.drain(schedule, self.host.end_unanswered)
+            return
+        except Exception:
+            self.log.exception("draining the connections failed")
+        while self.host.unanswered and self.host.clock() < schedule.answer_by:
+            await anyio.sleep(POLL_SECONDS)
+        self.host.end_unanswered()
+        await anyio.sleep(Front.SETTLE_SECONDS)
 
     async def _stop_extensions(self) -> None:
         has_successor = self.front.server_state.has_successor
