Count a shutdown from when its signal may have been sent, not from when it was seen

Cause: the schedule began when the event loop took the signal in.

Fix: the schedule begins when the event loop was last known to run (0.15 s after its last heartbeat), and half a second earlier for a signal that was pending when the handlers were set up. The last answer is due 0.3 s after the longest deadline (0.35), the end 0.5 s (0.55): two delays of 0.15 s fit into the platform's 0.7 s.

The soak sends SIGTERM to stopped processes too. test_a_shutdown_counts_from_when_the_signal_may_have_been_sent fails before (no such estimate).

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -7,9 +7,10 @@
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import anyio
@@ -20,6 +21,7 @@
     FakeServer,
     LoopbackCluster,
     ReceivedMessage,
+    RecordingLog,
     config,
     list_line,
     reply,
@@ -30,6 +32,10 @@
 from test_start import free_port
 
 from thornladder.node.clients.connection import ClientConnection
+from thornladder.node.host import NodeHost
+from thornladder.node.shutdown import ACCEPT_SECONDS, ShutdownSchedule
+from thornladder.node.tasks import Tasks
+from thornladder.node.termination import Termination
 from thornladder.rig.soak.client import ConnectionLost, RawConnection
 
 pytestmark = pytest.mark.anyio
@@ -277,3 +283,32 @@
             assert (await client.answer()).target == "200"
             assert await process.wait() == 0
         tasks.cancel_scope.cancel()
+
+
+class FrontStub:
+    """Takes the place of a front and records the schedules of its drains."""
+
+    def __init__(self) -> None:
+        self.server_state = SimpleNamespace(longest_deadline=0.7, has_successor=False)
+        self.schedules: list[ShutdownSchedule] = []
+
+    async def drain(self, schedule: ShutdownSchedule, _: Callable[[], None]) -> None:
+        self.schedules.append(schedule)
+
+
+# Found by the soak: a process that took in SIGTERM late ended after the platform's kill.
+@pytest.mark.parametrize("before_start", [False, True])
+async def test_a_shutdown_counts_from_when_the_signal_may_have_been_sent(before_start: bool) -> None:
+    now, log, front = [100.0], RecordingLog(), FrontStub()
+    async with anyio.create_task_group() as group:
+        tasks = Tasks(group, log)
+        host = NodeHost(lambda: now[0], tasks, log)
+        now[0] += 0.1
+        assert host.last_live_at == 100.1  # the event loop is not late
+        now[0] += 0.4  # no heartbeat in this time
+        assert host.last_live_at == 100.0 + NodeHost.HEARTBEAT_SECONDS
+        Termination(front, host, lambda: None, tasks, log, ()).begin("SIGTERM", before_start)
+    (schedule,) = front.schedules
+    expected = 100.0 + NodeHost.HEARTBEAT_SECONDS - (ACCEPT_SECONDS if before_start else 0.0)
+    assert schedule.signalled_at == expected
+    assert expected + 0.7 < schedule.answer_by < schedule.exit_by < expected + 0.7 + KILL_SECONDS - 0.15
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -194,6 +194,14 @@
         """Seconds until a last response has to be ready; inf unless the process has been told to end."""
         return self.answer_by - self.RESPONSE_MARGIN_SECONDS - self.clock()
 
+    @property
+    def last_live_at(self) -> float:
+        """The latest time at which the event loop is known to have run without delay: now, as a rule.
+
+        What this process finds after it got no CPU, such as a signal, may have come at any time since then.
+        """
+        return min(self.clock(), self.last_heartbeat + self.HEARTBEAT_SECONDS)
+
     def begin_shutdown(self, answer_by: float) -> None:
         """Lets no invocation, neither those in flight nor later ones, take longer than until `answer_by`."""
         self.answer_by = answer_by
--- a/thornladder/node/shutdown.py
+++ b/thornladder/node/shutdown.py
@@ -9,8 +9,8 @@
 MAX_DEADLINE_SECONDS = 3.0
 # Of those 0.7 s. What is left allows for a process that gets no CPU for 0.15 s, once before it takes in the
 # signal and once before it writes its answers.
-ANSWER_SECONDS = 0.35
-EXIT_SECONDS = 0.55
+ANSWER_SECONDS = 0.3
+EXIT_SECONDS = 0.5
 ACCEPT_SECONDS = 0.5  # clients may still connect for about this long
 
 
--- a/thornladder/node/termination.py
+++ b/thornladder/node/termination.py
@@ -12,7 +12,7 @@
 from thornladder.node.clients.front import Front
 from thornladder.node.companion import NodeExtension
 from thornladder.node.host import NodeHost
-from thornladder.node.shutdown import ShutdownSchedule
+from thornladder.node.shutdown import ACCEPT_SECONDS, ShutdownSchedule
 from thornladder.node.tasks import Tasks
 
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
@@ -38,12 +38,16 @@
         self.tasks, self.log, self.extensions = tasks, log, extensions
         self.begun = False
 
-    def begin(self, signal_name: str) -> None:
-        """Starts the shutdown; does nothing if it has begun."""
+    def begin(self, signal_name: str, before_start: bool = False) -> None:
+        """Starts the shutdown; does nothing if it has begun.
+
+        `before_start`: the signal was sent at some time before this process could handle it.
+        """
         if self.begun:
             return
         self.begun = True
-        schedule = ShutdownSchedule(self.host.clock(), self.front.server_state.longest_deadline)
+        signalled_at = self.host.last_live_at - (ACCEPT_SECONDS if before_start else 0.0)
+        schedule = ShutdownSchedule(signalled_at, self.front.server_state.longest_deadline)
         self.log.info("leaving", signal=signal_name)
         self.tasks.start("leaving", self._run, schedule)
 
@@ -99,12 +103,13 @@
     termination: Termination, reload: Callable[[], None], log: Any, *, task_status: TaskStatus
 ) -> None:
     """Reloads the configuration on SIGHUP and shuts down on SIGTERM or SIGINT, until it is cancelled."""
+    pending = signal.sigpending()
     with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         task_status.started()
         async for signal_number in signals:
             if signal_number is not signal.SIGHUP:
-                termination.begin(signal_number.name)
+                termination.begin(signal_number.name, before_start=signal_number in pending)
                 continue
             try:
                 reload()
--- a/thornladder/rig/soak/plan.py
+++ b/thornladder/rig/soak/plan.py
@@ -20,6 +20,12 @@
     RELOAD = "SIGHUP"
     RELOAD_DEADLINES = "SIGHUP with other deadlines"
     HOLD = "SIGSTOP, SIGCONT"  # for MAX_HOLD_SECONDS
+    TERMINATE_HELD = "SIGSTOP, SIGTERM, SIGCONT"  # the same, with the signal sent in between
+
+    @property
+    def ends_process(self) -> bool:
+        """Whether this tells the process to end."""
+        return self in (Step.TERMINATE, Step.INTERRUPT, Step.TERMINATE_HELD)
 
 
 @dataclass(frozen=True)
@@ -85,6 +91,8 @@
     (Step.RELOAD_DEADLINES, Step.TERMINATE),
     (Step.TERMINATE, Step.RELOAD_DEADLINES),
     (Step.TERMINATE, Step.HOLD),
+    (Step.TERMINATE_HELD,),
+    (Step.TERMINATE_HELD, Step.RELOAD),
     (Step.RELOAD, Step.TERMINATE, Step.INTERRUPT, Step.HOLD),
 )
 
@@ -119,7 +127,7 @@
         # Half of the signals come at once, the others at any time before the kill.
         pause = rng.choice((0.0, rng.uniform(0.0, 0.9))) if ending else rng.uniform(0.0, 0.3)
         actions.append(Action(pause, step))
-        ending = ending or step in (Step.TERMINATE, Step.INTERRUPT)
+        ending = ending or step.ends_process
     serving = rng.uniform(0.0, 0.6) if amid_start else rng.uniform(0.5, 2.0)
     return Shutdown(serving, not amid_start, tuple(actions))
 
--- a/thornladder/rig/soak/play.py
+++ b/thornladder/rig/soak/play.py
@@ -170,7 +170,7 @@
             await anyio.sleep(action.pause)
             if self.process.poll() is not None:
                 break
-            if action.step in (Step.TERMINATE, Step.INTERRUPT) and not signalled_at:
+            if action.step.ends_process and not signalled_at:
                 signalled_at, lag_before = self.soak.now(), self.soak.lost_seconds()
                 kill_after = min(self.longest_deadline, MAX_DEADLINE_SECONDS) + KILL_SECONDS
                 started_serving = b'"serving"' in self.log_path.read_bytes()
@@ -206,8 +206,10 @@
         if step in (Step.RELOAD, Step.RELOAD_DEADLINES):
             self._write_config()
             self.process.send_signal(signal.SIGHUP)
-        elif step is Step.HOLD:
+        elif step in (Step.HOLD, Step.TERMINATE_HELD):
             self.process.send_signal(signal.SIGSTOP)
+            if step is Step.TERMINATE_HELD:
+                self.process.send_signal(signal.SIGTERM)
             await anyio.sleep(MAX_HOLD_SECONDS)
             self.process.send_signal(signal.SIGCONT)
         else:
