Wait until the kernel has taken a last answer before its connection is closed

A caller that read its last answer slowly got a part of it: what the kernel does not take at once waits in the transport, and 0.3 s after the half-close ClientConnection threw that away; a shutdown did so after 0.1 s, since last_response_sent looked at the node's own queue alone.

Found by reading (answered, not yet delivered).

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
@@ -15,7 +16,7 @@
 
 import anyio
 import pytest
-from anyio.abc import Process
+from anyio.abc import Process, SocketAttribute
 from harness import (
     SETTINGS,
     FakeServer,
@@ -312,3 +313,28 @@
     expected = 100.0 + NodeHost.HEARTBEAT_SECONDS - (ACCEPT_SECONDS if before_start else 0.0)
     assert schedule.signalled_at == expected
     assert expected + 0.7 < schedule.answer_by < schedule.exit_by < expected + 0.7 + KILL_SECONDS - 0.15
+
+
+# Found by reading: the end of a last answer that the client had not read after 0.3 s was thrown away.
+async def test_a_last_answer_is_sent_whole_to_a_client_that_reads_late(
+    connections: list[ClientConnection],
+) -> None:
+    body = b"y" * 60_000
+    async with LoopbackCluster(lambda _: reply(200, body)) as cluster:
+        with socket.socket() as client_socket:
+            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            client_socket.connect(("127.0.0.1", cluster.port))
+            await wait_until(lambda: connections)
+            kernel_buffer = (socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            connections[0].stream.extra(SocketAttribute.raw_socket).setsockopt(*kernel_buffer)
+            request = request_bytes("a", "look", 0.9).replace(
+                b"\r\nHost", b"\r\nConnection: close\r\nHost", 1
+            )
+            client_socket.sendall(request)
+            await wait_until(lambda: connections[0].closing)
+            assert not connections[0].last_response_sent
+            await anyio.sleep(2.0 * ClientConnection.LINGER_SECONDS)
+            received = b""
+            while data := await anyio.to_thread.run_sync(client_socket.recv, 65536):
+                received += data
+            assert received.endswith(body)
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -161,8 +161,9 @@
 
     @property
     def last_response_sent(self) -> bool:
-        """Whether the connection is closing and its last response has been written."""
-        return self.closing and not self.outbox and self.download is None
+        """Whether the connection is closing and the kernel has taken its last response."""
+        written = not self.outbox and self.download is None and not streams.unsent_bytes(self.stream)
+        return self.closing and written
 
     @property
     def silent(self) -> bool:
@@ -370,6 +371,7 @@
                 if self.exchange is None:
                     self._process_events()
                     await self._forward_upload()
+            await self.stream.send(b"")  # waits until the kernel has taken the last response
             # Half-closes, then waits for the client to close, or for LINGER_SECONDS: otherwise a reset could
             # overtake the response.
             await self.stream.send_eof()
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -112,6 +112,12 @@
     return True
 
 
+def unsent_bytes(stream: SocketStream) -> int:
+    """Returns how many written bytes the kernel has not taken yet, because the other side reads slowly."""
+    transport = getattr(stream, "_transport", None)
+    return 0 if transport is None or transport.is_closing() else transport.get_write_buffer_size()
+
+
 # `tcpi_last_data_recv` in Linux's `struct tcp_info`: milliseconds since data was last received.
 _LAST_DATA_RECEIVED = struct.Struct("52xI")
 
