A log line that cannot be written no longer ends the node

With the disk under its log full, or the reader of its log gone, a node ended with an OSError from the next log line, and every request in flight lost its answer; it did not start either.

Cause: structlog writes to standard error and the error is raised where the line is logged, among others in the task that takes in SIGTERM. Evidence: with /dev/full as standard error the process ended at its start, or did not become ready in 30 s (3 of 3).

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -29,8 +29,8 @@
     wait_until,
 )
 from test_end_crossings import GatedBackend
-from test_process import connect, running_node
-from test_start import free_port
+from test_process import NODE_COMMAND, connect, running_node
+from test_start import free_port, wait_until_ready
 
 from thornladder.node.clients.connection import ClientConnection
 from thornladder.node.host import NodeHost
@@ -338,3 +338,28 @@
             while data := await anyio.to_thread.run_sync(client_socket.recv, 65536):
                 received += data
             assert received.endswith(body)
+
+
+# Found by reading: a log line that could not be written ended the node with its requests unanswered.
+async def test_a_full_disk_under_the_log_leaves_no_request_unanswered(tmp_path: Path) -> None:
+    backend = GatedBackend(lambda _: reply(200))
+    port = free_port()
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(backend.serve)
+        path = tmp_path / "config.json"
+        document = config([list_line(0, backend.port)], free_port()) | {"listen": f"127.0.0.1:{port}"}
+        path.write_text(json.dumps(document))
+        environment = {**os.environ, "TMPDIR": str(tmp_path), "EDGE_CONFIG": str(path)}
+        with Path("/dev/full").open("wb") as full_disk:
+            process = await anyio.open_process(NODE_COMMAND, env=environment, stderr=full_disk)
+        async with process:
+            await wait_until_ready(port)
+            client = await connect(port)
+            await client.send("a", "pay", 900, b"x")
+            await wait_until(lambda: backend.connections)
+            process.send_signal(signal.SIGTERM)
+            await anyio.sleep(0.1)
+            backend.gate.set()
+            assert (await client.answer()).target == "200"
+            assert await process.wait() == 0
+        tasks.cancel_scope.cancel()
--- a/thornladder/__main__.py
+++ b/thornladder/__main__.py
@@ -16,6 +16,7 @@
 from thornladder.fields import MalformedError
 from thornladder.node import service
 from thornladder.node.companion import NodeExtension
+from thornladder.node.log_output import LogOutput
 from thornladder.node.messages import EMPTY_LIST, decode_list
 from thornladder.node.termination import HANDLED_SIGNALS
 
@@ -30,7 +31,7 @@
             structlog.processors.JSONRenderer(),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(LogOutput()),
         cache_logger_on_first_use=True,
     )
 
