Leave time to exit before the kill where deadlines are short

Cause: the last wait of 0.1 s was added after exit_by had been reached, and a crowd that goes on connecting kept accepting open until 0.75 s. Fix: the last wait ends at exit_by; connections are awaited for 0.45 s (clients come for 0.4 s at most) and accepting ends 0.15 s later, also if connections go on coming.

--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -21,7 +21,7 @@
     """The accepting side of a node: its client connections, their number, and their orderly end."""
 
     ACCEPT_QUIET_SECONDS = 0.05  # without a new connection: no client connects any more
-    EMPTY_QUEUE_SECONDS = 0.25  # for which clients that go on connecting are accepted at most
+    EMPTY_QUEUE_SECONDS = 0.15  # for which clients that go on connecting are accepted at most
     SETTLE_SECONDS = 0.1  # for the first bytes on the connections accepted last, and for the last answers
     DRAIN_POLL_SECONDS = 0.02  # between looks at what is still open
     # Share of the connection limit from which idle connections are closed and the backlog is cut.
@@ -203,7 +203,7 @@
             self._close_oldest_idle(len(self.connections))
             await anyio.sleep(self.DRAIN_POLL_SECONDS)
         self._log_connections("drained")
-        await anyio.sleep(self.SETTLE_SECONDS)
+        await self._sleep_until(min(self.server_state.clock() + self.SETTLE_SECONDS, schedule.exit_by))
 
     @property
     def _drained(self) -> bool:
--- a/thornladder/node/shutdown.py
+++ b/thornladder/node/shutdown.py
@@ -11,7 +11,7 @@
 # signal and once before it writes its answers.
 ANSWER_SECONDS = 0.3
 EXIT_SECONDS = 0.5
-ACCEPT_SECONDS = 0.5  # clients may still connect for about this long
+ACCEPT_SECONDS = 0.45  # clients go on connecting for 0.4 s at most
 
 
 @dataclass(frozen=True, slots=True)
