Settings that came with SIGTERM no longer lengthen the shutdown

Cause: signals that wait together are taken in by number, SIGHUP before SIGTERM, so the shutdown was counted by deadlines that the platform did not know when it sent SIGTERM. Evidence: the series SIGSTOP, SIGTERM, SIGHUP, SIGCONT, and nothing else, breaks; the log has 'settings applied' before 'leaving'.

Fix: for a second after a change of the settings the shutdown counts by the shorter of the longest deadlines before and after it. test_settings_that_came_with_sigterm_do_not_lengthen_the_shutdown fails before (no such rule).

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -10,6 +10,7 @@
 import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
 from typing import Any
@@ -18,6 +19,7 @@
 import pytest
 from anyio.abc import Process, SocketAttribute
 from harness import (
+    OFFERINGS,
     SETTINGS,
     FakeServer,
     LoopbackCluster,
@@ -32,9 +34,11 @@
 from test_process import NODE_COMMAND, connect, running_node
 from test_start import free_port, wait_until_ready
 
-from thornladder.node.clients.connection import ClientConnection
+from thornladder.interface import Offering
+from thornladder.node.clients.connection import ClientConnection, ServerState
 from thornladder.node.host import NodeHost
 from thornladder.node.shutdown import ACCEPT_SECONDS, ShutdownSchedule
+from thornladder.node.streams import BodyBudget
 from thornladder.node.tasks import Tasks
 from thornladder.node.termination import Termination
 from thornladder.rig.soak.client import ConnectionLost, RawConnection
@@ -290,7 +294,7 @@
     """Takes the place of a front and records the schedules of its drains."""
 
     def __init__(self) -> None:
-        self.server_state = SimpleNamespace(longest_deadline=0.7, has_successor=False)
+        self.server_state = SimpleNamespace(shutdown_deadline=0.7, has_successor=False)
         self.schedules: list[ShutdownSchedule] = []
 
     async def drain(self, schedule: ShutdownSchedule, _: Callable[[], None]) -> None:
@@ -363,3 +367,24 @@
             assert (await client.answer()).target == "200"
             assert await process.wait() == 0
         tasks.cancel_scope.cancel()
+
+
+# Found by the soak: SIGHUP with longer deadlines, sent after SIGTERM to a process without a core, came first.
+def test_settings_that_came_with_sigterm_do_not_lengthen_the_shutdown() -> None:
+    now = [100.0]
+
+    def offerings(cut_off: float) -> dict[str, Offering]:
+        return {"look": replace(OFFERINGS[0], cut_off=cut_off)}
+
+    state = ServerState(
+        None, offerings(0.7), lambda: now[0], BodyBudget(2**20), lambda: False, lambda *_: None, None
+    )
+    assert state.shutdown_deadline == 0.7
+    now[0] += 5.0
+    for cut_off in (2.0, 3.0):
+        state.set_offerings(offerings(cut_off))
+    assert (state.longest_deadline, state.shutdown_deadline) == (3.0, 0.7)
+    now[0] += ServerState.SIGNAL_ORDER_SECONDS + 0.1
+    assert state.shutdown_deadline == 3.0
+    state.set_offerings(offerings(0.4))
+    assert state.shutdown_deadline == 0.4
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
@@ -43,6 +44,8 @@
 class ServerState:
     """State shared by all client connections: invocation handler, settings, and drain and standby status."""
 
+    SIGNAL_ORDER_SECONDS = 1.0  # longer than any process waits for its core
+
     def __init__(
         self,
         handler: InvocationHandler,
@@ -56,6 +59,8 @@
         self.handler, self.clock, self.body_budget, self.log = handler, clock, body_budget, log
         self.is_lagging = is_lagging  # whether this node is late in reading what it has received
         self.shed_policy = shed_policy
+        self.offerings: Mapping[str, Offering] = {}
+        self.replaced_deadline, self.replaced_at = math.inf, -math.inf  # of the settings before the present
         self.set_offerings(offerings)
         self.shutdown: ShutdownSchedule | None = None  # set once this process has been told to end
         self.standby = False
@@ -72,12 +77,24 @@
 
     def set_offerings(self, offerings: Mapping[str, Offering]) -> None:
         """Replaces the offerings for new invocations; those in flight keep theirs."""
+        self.replaced_deadline, self.replaced_at = self.shutdown_deadline, self.clock()
         self.offerings, self.early_shedder = offerings, EarlyShedder(offerings, self.shed_policy)
 
     @property
     def longest_deadline(self) -> float:
         """The longest time, in seconds, that the present settings let any client wait."""
-        return max((offering.cut_off for offering in self.offerings.values()), default=0.0)
+        return max((offering.cut_off for offering in self.offerings.values()), default=math.inf)
+
+    @property
+    def shutdown_deadline(self) -> float:
+        """The longest deadline, in seconds, by which the platform counts a shutdown that begins now.
+
+        Signals that wait together are taken in by number, SIGHUP before SIGTERM: settings that replaced
+        others just now may have been sent after the process was told to end.
+        """
+        if self.clock() - self.replaced_at > self.SIGNAL_ORDER_SECONDS:
+            return self.longest_deadline
+        return min(self.longest_deadline, self.replaced_deadline)
 
     @property
     def draining(self) -> bool:
--- a/thornladder/node/termination.py
+++ b/thornladder/node/termination.py
@@ -47,7 +47,7 @@
             return
         self.begun = True
         signalled_at = self.host.last_live_at - (ACCEPT_SECONDS if before_start else 0.0)
-        schedule = ShutdownSchedule(signalled_at, self.front.server_state.longest_deadline)
+        schedule = ShutdownSchedule(signalled_at, self.front.server_state.shutdown_deadline)
         self.log.info("leaving", signal=signal_name)
         self.tasks.start("leaving", self._run, schedule)
 
--- a/thornladder/rig/soak/plan.py
+++ b/thornladder/rig/soak/plan.py
@@ -21,11 +21,17 @@
     RELOAD_DEADLINES = "SIGHUP with other deadlines"
     HOLD = "SIGSTOP, SIGCONT"  # for MAX_HOLD_SECONDS
     TERMINATE_HELD = "SIGSTOP, SIGTERM, SIGCONT"  # the same, with the signal sent in between
+    TERMINATE_RELOAD_HELD = "SIGSTOP, SIGTERM, SIGHUP with other deadlines, SIGCONT"
 
     @property
     def ends_process(self) -> bool:
         """Whether this tells the process to end."""
-        return self in (Step.TERMINATE, Step.INTERRUPT, Step.TERMINATE_HELD)
+        return self in (
+            Step.TERMINATE,
+            Step.INTERRUPT,
+            Step.TERMINATE_HELD,
+            Step.TERMINATE_RELOAD_HELD,
+        )
 
 
 @dataclass(frozen=True)
@@ -93,6 +99,7 @@
     (Step.TERMINATE, Step.HOLD),
     (Step.TERMINATE_HELD,),
     (Step.TERMINATE_HELD, Step.RELOAD),
+    (Step.TERMINATE_RELOAD_HELD,),
     (Step.RELOAD, Step.TERMINATE, Step.INTERRUPT, Step.HOLD),
 )
 
--- a/thornladder/rig/soak/play.py
+++ b/thornladder/rig/soak/play.py
@@ -197,23 +197,24 @@
 
     async def _take(self, step: Step) -> None:
         assert self.process is not None
-        if step is Step.RELOAD_DEADLINES:
-            self.longest_deadline = (
-                self.soak.plan.other_longest_deadline
-                if self.longest_deadline == self.soak.plan.longest_deadline
-                else self.soak.plan.longest_deadline
-            )
-        if step in (Step.RELOAD, Step.RELOAD_DEADLINES):
+        held = step in (Step.HOLD, Step.TERMINATE_HELD, Step.TERMINATE_RELOAD_HELD)
+        if held:
+            self.process.send_signal(signal.SIGSTOP)
+        if step.ends_process:
+            self.process.send_signal(signal.SIGINT if step is Step.INTERRUPT else signal.SIGTERM)
+        if step in (Step.RELOAD_DEADLINES, Step.TERMINATE_RELOAD_HELD):
+            self._change_deadlines()
+        if step in (Step.RELOAD, Step.RELOAD_DEADLINES, Step.TERMINATE_RELOAD_HELD):
             self._write_config()
             self.process.send_signal(signal.SIGHUP)
-        elif step in (Step.HOLD, Step.TERMINATE_HELD):
-            self.process.send_signal(signal.SIGSTOP)
-            if step is Step.TERMINATE_HELD:
-                self.process.send_signal(signal.SIGTERM)
+        if held:
             await anyio.sleep(MAX_HOLD_SECONDS)
             self.process.send_signal(signal.SIGCONT)
-        else:
-            self.process.send_signal(signal.SIGTERM if step is Step.TERMINATE else signal.SIGINT)
+
+    def _change_deadlines(self) -> None:
+        plan = self.soak.plan
+        is_changed = self.longest_deadline != plan.longest_deadline
+        self.longest_deadline = plan.longest_deadline if is_changed else plan.other_longest_deadline
 
     async def _wait_for_exit(self, deadline: float, lag_before: float) -> bool:
         """Waits until the platform would kill the process; returns whether it has exited by itself."""
