End a process 0.45 s after its longest deadline at the latest

Cause: with so short a deadline the end at 0.5 s after it left 0.05 s for the interpreter's own exit. Fix: the end is 0.45 s after it, and idle connections are looked at once more before the last wait, so that what arrives on them meanwhile is left unread.

--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -23,6 +23,7 @@
     ACCEPT_QUIET_SECONDS = 0.05  # without a new connection: no client connects any more
     EMPTY_QUEUE_SECONDS = 0.15  # for which clients that go on connecting are accepted at most
     SETTLE_SECONDS = 0.1  # for the first bytes on the connections accepted last, and for the last answers
+    DELIVERY_SECONDS = 0.05  # left for the last answers where the time of the shutdown is up
     DRAIN_POLL_SECONDS = 0.02  # between looks at what is still open
     # Share of the connection limit from which idle connections are closed and the backlog is cut.
     NEAR_LIMIT_SHARE = 0.9
@@ -195,13 +196,14 @@
         # Lets requests in transit on kept connections arrive before these are closed.
         await self._sleep_until(schedule.accept_until + self.ACCEPT_QUIET_SECONDS + self.SETTLE_SECONDS)
         self._log_connections("closing idle connections")
-        while not self._drained and self.server_state.clock() < schedule.exit_by - self.SETTLE_SECONDS:
+        while not self._drained and self.server_state.clock() < schedule.exit_by - self.DELIVERY_SECONDS:
             if self.server_state.clock() >= schedule.answer_by:
                 end_unanswered()
                 for connection in list(self.connections):
                     self._run_isolated(connection, connection.refuse_incomplete)
             self._close_oldest_idle(len(self.connections))
             await anyio.sleep(self.DRAIN_POLL_SECONDS)
+        self._close_oldest_idle(len(self.connections))
         self._log_connections("drained")
         await self._sleep_until(min(self.server_state.clock() + self.SETTLE_SECONDS, schedule.exit_by))
 
--- a/thornladder/node/shutdown.py
+++ b/thornladder/node/shutdown.py
@@ -10,7 +10,7 @@
 # Of those 0.7 s. What is left allows for a process that gets no CPU for 0.15 s, once before it takes in the
 # signal and once before it writes its answers.
 ANSWER_SECONDS = 0.3
-EXIT_SECONDS = 0.5
+EXIT_SECONDS = 0.45
 ACCEPT_SECONDS = 0.45  # clients go on connecting for 0.4 s at most
 
 
