Soak: count the machine's lost time up to the attempt, clock in a module of its own

The bound grew by the time lost until the client left, but not until the attempt was seen. Now it grows by the time lost between the two and by nothing before; bounds are as they were.

--- a/thornladder/rig/soak/backend.py
+++ b/thornladder/rig/soak/backend.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 
 import anyio
 import h11
 from anyio.abc import SocketStream, TaskStatus
 
+from thornladder.rig.soak.clock import SoakClock
 from thornladder.rig.soak.plan import BackendMode, ModeChange
 from thornladder.rig.soak.records import Attempt, SoakRecords
 from thornladder.rig.standins import HttpServer
@@ -20,10 +20,10 @@
     """A backend whose mode changes by the clock of the soak."""
 
     def __init__(
-        self, number: int, changes: tuple[ModeChange, ...], records: SoakRecords, now: Callable[[], float]
+        self, number: int, changes: tuple[ModeChange, ...], records: SoakRecords, clock: SoakClock
     ) -> None:
         super().__init__()
-        self.number, self.changes, self.records, self.now = number, changes, records, now
+        self.number, self.changes, self.records, self.clock = number, changes, records, clock
         self.mode = BackendMode.ANSWER
 
     async def run(self, *, task_status: TaskStatus) -> None:
@@ -32,7 +32,7 @@
             await group.start(self.serve)
             task_status.started()
             for change in self.changes:
-                await anyio.sleep(max(change.at - self.now(), 0.0))
+                await anyio.sleep(max(change.at - self.clock.now(), 0.0))
                 if self.mode is BackendMode.DEAD and change.mode is not BackendMode.DEAD:
                     await group.start(self.serve)
                 self.mode = change.mode
@@ -71,4 +71,5 @@
         id = dict(head.headers).get(b"x-call-id", b"").decode()
         if id:
             offering = head.target.decode().strip("/")
-            self.records.attempts.setdefault(id, []).append(Attempt(self.now(), offering, self.number))
+            attempt = Attempt(self.clock.now(), offering, self.number, self.clock.lost_seconds())
+            self.records.attempts.setdefault(id, []).append(attempt)
--- a/thornladder/rig/soak/client.py
+++ b/thornladder/rig/soak/client.py
@@ -12,6 +12,7 @@
 
 import anyio
 
+from thornladder.rig.soak.clock import SoakClock
 from thornladder.rig.soak.records import End, RequestRecord, SoakRecords
 from thornladder.settings import Address
 
@@ -113,18 +114,6 @@
         ...
 
 
-class SoakClock(Protocol):
-    """Time as the soak counts it."""
-
-    def now(self) -> float:
-        """Seconds since the start of the soak."""
-        ...
-
-    def lost_seconds(self) -> float:
-        """Seconds by which the machine has been late in all so far."""
-        ...
-
-
 class SoakClient:
     """Sends requests to one node, one at a time, on whatever connection stays open."""
 
@@ -178,14 +167,14 @@
             reused=self.connection.requests > 0,
         )
         self.records.requests.append(record)
-        delay_before = self.clock.lost_seconds()
+        record.lost_before = self.clock.lost_seconds()
         try:
             await self._exchange(self.connection, offering, record)
         except ConnectionLost as error:
             cut = bool(self.connection.buffer)
             record.end = End.CUT if cut else End.RESET if error.was_reset else End.CLOSED
         record.ended_at = record.ended_at or self.clock.now()
-        record.machine_delay = self.clock.lost_seconds() - delay_before
+        record.lost_at_end = record.lost_at_end or self.clock.lost_seconds()
         if record.end is not End.ANSWERED:
             self._drop()
         if record.end is End.RESET and not is_repeat and await self._connect():
@@ -235,6 +224,7 @@
             if not connection.ended():
                 connection.close()
                 record.end, record.ended_at = End.LEFT, self.clock.now()
+                record.lost_at_end = self.clock.lost_seconds()
 
     def _pieces(self, data: bytes, large: bool) -> list[bytes]:
         if large:
--- /dev/null
+++ b/thornladder/rig/soak/clock.py
@@ -0,0 +1,42 @@
+"""Time in a soak, and how much of it the machine has lost."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+import anyio
+
+LAG_POLL_SECONDS = 0.01
+LAG_IGNORED_SECONDS = 0.005  # timers are this late on an idle machine
+
+
+class SoakClock(Protocol):
+    """Time as the soak counts it."""
+
+    def now(self) -> float:
+        """Seconds since the start of the soak."""
+        ...
+
+    def lost_seconds(self) -> float:
+        """Seconds by which the machine has been late in all so far."""
+        ...
+
+
+class MachineLag:
+    """Adds up by how much timers of this process are late: time in which the machine did not run the soak.
+
+    The bounds of the soak are those of the platform on a machine that keeps up; on one that does not, they
+    are longer by the time that it lost.
+    """
+
+    def __init__(self) -> None:
+        self.total = 0.0  # seconds
+
+    async def run(self) -> None:
+        """Measures until it is cancelled."""
+        while True:
+            started = time.monotonic()
+            await anyio.sleep(LAG_POLL_SECONDS)
+            late = time.monotonic() - started - LAG_POLL_SECONDS
+            self.total += late if late > LAG_IGNORED_SECONDS else 0.0
--- a/thornladder/rig/soak/play.py
+++ b/thornladder/rig/soak/play.py
@@ -22,6 +22,7 @@
 from thornladder.children import signal_on_parent_exit
 from thornladder.rig.soak.backend import FaultyBackend
 from thornladder.rig.soak.client import Offering, RawConnection, SoakClient
+from thornladder.rig.soak.clock import MachineLag
 from thornladder.rig.soak.plan import (
     KILL_SECONDS,
     MAX_DEADLINE_SECONDS,
@@ -36,8 +37,6 @@
 NODE_COMMAND = (sys.executable, "-B", "-m", "thornladder")
 FRONT_NOTICES_SECONDS = (0.2, 0.4)  # after SIGTERM, for which new connections go on coming
 READY_SECONDS = 30.0  # in which a node has to become ready
-LAG_POLL_SECONDS = 0.01
-LAG_IGNORED_SECONDS = 0.005  # timers are this late on an idle machine
 # Share of each offering's deadline in the longest one.
 DEADLINE_SHARES = {"look": 1.0, "pay": 1.0, "book": 0.7}
 ONCE_ONLY = frozenset({"pay"})
@@ -66,25 +65,6 @@
     return settings
 
 
-class MachineLag:
-    """Adds up by how much timers of this process are late: time in which the machine did not run the soak.
-
-    The bounds of the soak are those of the platform on a machine that keeps up; on one that does not, they
-    are longer by the time that it lost.
-    """
-
-    def __init__(self) -> None:
-        self.total = 0.0  # seconds
-
-    async def run(self) -> None:
-        """Measures until it is cancelled."""
-        while True:
-            started = time.monotonic()
-            await anyio.sleep(LAG_POLL_SECONDS)
-            late = time.monotonic() - started - LAG_POLL_SECONDS
-            self.total += late if late > LAG_IGNORED_SECONDS else 0.0
-
-
 class SoakNode:
     """One node of the fleet: its files, its process, its clients."""
 
@@ -256,7 +236,7 @@
             group.start_soon(self.lag.run)
             await group.start(self.discovery.serve)
             for number, changes in enumerate(self.plan.backends):
-                backend = FaultyBackend(number, changes, self.records, self.now)
+                backend = FaultyBackend(number, changes, self.records, self)
                 await group.start(backend.run)
                 self.discovery.update(f"s{number}", backend.port, "x", 0.0)
             self.started_at = time.monotonic()
--- a/thornladder/rig/soak/records.py
+++ b/thornladder/rig/soak/records.py
@@ -36,7 +36,9 @@
     end: End = End.UNSENT
     status: int = 0
     body_id: str = ""  # first word of the body of a 200
-    machine_delay: float = 0.0  # seconds by which the machine was late while it was open
+    # Seconds by which the machine had been late in all when the request was begun, and when it ended.
+    lost_before: float = 0.0
+    lost_at_end: float = 0.0
 
 
 @dataclass
@@ -46,6 +48,7 @@
     at: float
     offering: str
     backend: int
+    lost: float  # seconds by which the machine had been late in all
 
 
 @dataclass
@@ -88,7 +91,8 @@
             f"deadline {request.deadline:.3f}, ended {request.ended_at:.3f}, reused {request.reused}"
         )
         if request.end is End.ANSWERED:
-            late = request.ended_at - request.sent_at - request.machine_delay - request.deadline
+            lost = request.lost_at_end - request.lost_before
+            late = request.ended_at - request.sent_at - request.deadline - lost
             if request.sent_at and late > ANSWER_GRACE_SECONDS:
                 return f"{where}: answered {late:.3f} s late"
             if request.status == 200 and request.body_id != request.id:
@@ -97,8 +101,13 @@
                 return f"{where}: refused, but it may have run"
             return None
         if request.end is End.LEFT:
-            latest = max((attempt.at for attempt in attempts), default=0.0)
-            late = latest - request.ended_at - request.machine_delay
+            late = max(
+                (
+                    attempt.at - request.ended_at - (attempt.lost - request.lost_at_end)
+                    for attempt in attempts
+                ),
+                default=0.0,
+            )
             return (
                 f"{where}: an attempt {late:.3f} s after its client left"
                 if late > LEFT_GRACE_SECONDS
