Give the last answers also where a held-up process finds its time over

Cause: Front.drain ended unanswered requests within its loop, between answer_by and 0.1 s later; a process that wakes after that never entered it.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -36,6 +36,7 @@
 
 from thornladder.interface import Offering
 from thornladder.node.clients.connection import ClientConnection, ServerState
+from thornladder.node.clients.front import Front
 from thornladder.node.host import NodeHost
 from thornladder.node.shutdown import ACCEPT_SECONDS, ShutdownSchedule
 from thornladder.node.streams import BodyBudget
@@ -388,3 +389,29 @@
     assert state.shutdown_deadline == 3.0
     state.set_offerings(offerings(0.4))
     assert state.shutdown_deadline == 0.4
+
+
+class ConnectionStub:
+    """A connection with half a request."""
+
+    idle = closing = last_response_sent = False
+    exchange = None
+
+    def __init__(self, calls: list[str]) -> None:
+        self.calls = calls
+
+    def refuse_incomplete(self) -> None:
+        self.calls.append("incomplete")
+
+
+# Found by the soak: a process held up until its time was over skipped the last answers.
+async def test_a_drain_whose_time_is_over_still_ends_what_is_unanswered() -> None:
+    calls: list[str] = []
+    connection = ConnectionStub(calls)
+    state = ServerState(
+        None, {}, lambda: 100.0, BodyBudget(2**20), lambda: False, lambda *_: None, RecordingLog()
+    )
+    front = Front(state, 10, None)
+    front.connections.add(connection)
+    await front.drain(ShutdownSchedule(90.0, 0.7), lambda: calls.append("in flight"))
+    assert calls == ["in flight", "incomplete"]
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -198,14 +198,21 @@
         self._log_connections("closing idle connections")
         while not self._drained and self.server_state.clock() < schedule.exit_by - self.DELIVERY_SECONDS:
             if self.server_state.clock() >= schedule.answer_by:
-                end_unanswered()
-                for connection in list(self.connections):
-                    self._run_isolated(connection, connection.refuse_incomplete)
+                self._end_requests(end_unanswered)
             self._close_oldest_idle(len(self.connections))
             await anyio.sleep(self.DRAIN_POLL_SECONDS)
+        # Once more in any case: a process that got no CPU may find the time up that it had for all this.
+        self._end_requests(end_unanswered)
         self._close_oldest_idle(len(self.connections))
         self._log_connections("drained")
-        await self._sleep_until(min(self.server_state.clock() + self.SETTLE_SECONDS, schedule.exit_by))
+        settled_at = min(self.server_state.clock() + self.SETTLE_SECONDS, schedule.exit_by)
+        await self._sleep_until(max(settled_at, self.server_state.clock() + self.DRAIN_POLL_SECONDS))
+
+    def _end_requests(self, end_unanswered: Callable[[], None]) -> None:
+        """Gives every request that has no answer one at once."""
+        end_unanswered()
+        for connection in list(self.connections):
+            self._run_isolated(connection, connection.refuse_incomplete)
 
     @property
     def _drained(self) -> bool:
