An extension that fails to stop no longer hides how the shutdown ended

An error from an extension's stop skipped the stops behind it and the line 'left' with the list of unanswered requests; the answers themselves were out by then. Found by reading; no case was seen, and no test was added for it.

--- a/thornladder/node/termination.py
+++ b/thornladder/node/termination.py
@@ -84,7 +84,10 @@
         has_successor = self.front.server_state.has_successor
         for extension in self.extensions:
             with anyio.move_on_after(EXTENSION_STOP_SECONDS):
-                await extension.stop(has_successor)
+                try:
+                    await extension.stop(has_successor)
+                except Exception:
+                    self.log.exception("an extension could not be stopped")
 
     def _log_end(self, schedule: ShutdownSchedule) -> None:
         now = self.host.clock()
