Review: the stand-ins' event loop is closed after the verdict, and waits finely only in case 1

Cause: an error at the end of a stand-in's event loop turned a verdict into 'could not run' in one of some 40 runs of a scratch test that shares review/lab.py; none of the cases' own runs was hit. Change: the loop is closed after the verdict, select() is used only in case 1, no collector runs.

--- a/review/lab.py
+++ b/review/lab.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import os
 import selectors
@@ -306,21 +307,25 @@
     return encode(f"{method} {path} HTTP/1.1", headers, body)
 
 
-def main(folder: Path, play: Callable[[Record, Path, list[Node]], Awaitable[str | None]]) -> None:
+def main(
+    folder: Path,
+    play: Callable[[Record, Path, list[Node]], Awaitable[str | None]],
+    fine_timers: bool = False,
+) -> None:
     """Plays a case and exits: `play` returns what broke the rule, or None if it held.
 
-    Every node that `play` puts into its list is ended in any case.
+    Every node that `play` puts into its list is ended in any case. `fine_timers`: the stand-ins wait in
+    microseconds, by select(), and not in whole milliseconds.
     """
+    gc.disable()  # no pauses, and no finalizers amid select(); a run is short
     record = Record(folder)
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
+    selector = selectors.SelectSelector if fine_timers else selectors.DefaultSelector
+    runner = asyncio.Runner(loop_factory=lambda: asyncio.SelectorEventLoop(selector()))
     nodes: list[Node] = []
     code = COULD_NOT_RUN
     try:
-        # select() waits in microseconds, epoll in whole milliseconds.
-        with asyncio.Runner(
-            loop_factory=lambda: asyncio.SelectorEventLoop(selectors.SelectSelector())
-        ) as runner:
-            broken = runner.run(asyncio.wait_for(play(record, temporary, nodes), 110.0))
+        broken = runner.run(asyncio.wait_for(play(record, temporary, nodes), 110.0))
         code = BROKEN if broken else HELD
         verdict = f"BROKEN: {broken}" if broken else "the rule held"
     except Exception as error:
@@ -329,6 +334,8 @@
         for node in nodes:
             node.kill()
         shutil.rmtree(temporary, ignore_errors=True)
+        with suppress(Exception):
+            runner.close()
     record("verdict", verdict, trouble=int(TROUBLE))
     record.close()
     print(verdict)
