--- a/review/lab.py
+++ b/review/lab.py
@@ -317,6 +317,7 @@
     Every node that `play` puts into its list is ended in any case. `fine_timers`: the stand-ins wait in
     microseconds, by select(), and not in whole milliseconds.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # ends the nodes too
     gc.disable()  # no pauses, and no finalizers amid select(); a run is short
     record = Record(folder)
     temporary = Path(tempfile.mkdtemp(prefix="review-"))
