A chunked answer whose Content-Length disagrees is malformed, not served cut off

Cause: ResponseReader.accept_head took the Content-Length of a chunked answer for the length of the streamed body. h11 reads such a body by its chunks (RFC 9112, 6.3), so the answer went out told by the one framing and cut by the other; behind the told length h11.LocalProtocolError closed the connection.

Evidence: only answers whose length fell on the edge of a chunk were taken for whole. Small answers were served by their chunks whatever the length said, and a rejection with two lengths counted as proof that nothing had run.

Change: Content-Length is no length of a chunked body. It is compared when the last chunk has come; if they disagree, the answer is malformed: failed if it was buffered, cut before its last chunk if it was streamed, so that the client can tell. Agreeing ones are served as before. This works since what the client gets is framed by what the node itself reads.

--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -61,7 +61,8 @@
             head_only, max_body_bytes, on_streaming, body_budget
         )  # fmt: skip
         self.head: h11.Response | None = None
-        self.length: int | None = None  # by Content-Length
+        self.declared_length: int | None = None  # by Content-Length, even where the body is chunked
+        self.is_chunked = False
         self.parts: list[bytes] = []
         self.size = 0  # bytes received so far
         self.budget_acquired = False
@@ -74,6 +75,18 @@
         """Whether the status is 200, the only one that is passed on to clients."""
         return self.head is not None and self.head.status_code == 200
 
+    @property
+    def length(self) -> int | None:
+        """Length of the body if the head gives it: Transfer-Encoding overrides it (RFC 9112, 6.3)."""
+        return None if self.is_chunked else self.declared_length
+
+    @property
+    def framings_agree(self) -> bool:
+        """Whether a chunked body, now received whole, has the Content-Length that its head declared."""
+        if not self.is_chunked or self.declared_length is None or self.head_only:
+            return True
+        return self.size == self.declared_length
+
     @property
     def should_stream(self) -> bool:
         """Whether the body is now known to be too large to be buffered and is not yet streamed."""
@@ -85,10 +98,11 @@
         self.head, self.head_received_at = head, anyio.current_time()
         framing = dict(head.headers)
         content_length = framing.get(b"content-length")
-        self.length = int(content_length) if content_length else None
+        self.declared_length = int(content_length) if content_length else None
+        self.is_chunked = b"transfer-encoding" in framing
         # A body that ends with its connection cannot be told from one that broke off, and may never end.
         if self.length is None:
-            return head.status_code != 200 or b"transfer-encoding" in framing or self.head_only
+            return head.status_code != 200 or self.is_chunked or self.head_only
         return self.head_only or self.length <= self.max_body_bytes
 
     def read_timeout(self) -> float | None:
@@ -287,6 +301,9 @@
                 if not await response.add(bytes(event.data), self):
                     return Failure(self.stage, Cause.BROKEN)  # its client has left
             elif isinstance(event, h11.EndOfMessage):
+                if not response.framings_agree:
+                    # One of the two is wrong, and it is not known which: what was passed on is cut off.
+                    return self._malformed()
                 break
             elif isinstance(event, h11.InformationalResponse):
                 informational += 1
