A cut answer to a client of HTTP/1.0 ends with a reset instead of a plain close

Such a client is told neither a length nor chunks, so the end of the connection is the end of its answer, and _stream_response ended a cut answer by a plain close.

Change: streams.reset; used where a download has not ended and the connection's end frames it. It works since a reset cannot be read as the end of a body, and it covers each way out, as it stands where the connection is closed.

--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -5,7 +5,7 @@
 import anyio
 import h11
 import pytest
-from harness import LoopbackCluster, ReceivedMessage, wait_until
+from harness import FakeServer, LoopbackCluster, ReceivedMessage, wait_until
 
 pytestmark = pytest.mark.anyio
 CHUNK_BYTES = 50_000
@@ -59,3 +59,22 @@
 
     async with LoopbackCluster(reject) as cluster:
         assert (await cluster.ask("a", "pay", body=b"x")).target == "502"
+
+
+@pytest.mark.parametrize("whole", [False, True], ids=["cut", "whole"])
+async def test_a_cut_answer_to_a_client_of_http_1_0_ends_with_a_reset(whole: bool) -> None:
+    """Guards against the end of the connection passing for the end of an answer that is not whole."""
+    answer = chunked_answer([CHUNK_BYTES] * 3, last_chunk=whole) + (b"" if whole else FakeServer.CUT)
+    request = b"POST /pay HTTP/1.0\r\nX-Call-Id: a\r\nContent-Length: 1\r\n\r\nx"
+    async with LoopbackCluster(lambda _: answer) as cluster:
+        stream = (await cluster.client()).stream
+        await stream.send(request)
+        received = b""
+        try:
+            with anyio.fail_after(5.0):
+                while True:
+                    received += await stream.receive()
+        except anyio.EndOfStream:
+            assert whole and received.endswith(b"\r\n\r\n" + bytes(3 * CHUNK_BYTES))
+        except anyio.BrokenResourceError:
+            assert not whole
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -154,6 +154,8 @@
         # Total time spent waiting for data of the current request, and start of the present wait (0: none).
         self.read_wait_seconds, self.read_started_at = 0.0, 0.0
         self.download: BodyPipe | None = None
+        # Whether the client, of HTTP/1.0, takes the end of the connection for the end of `download`.
+        self.ends_by_close = False
         self.budgeted_upload: BodyPipe | None = None  # the upload counted against the body budget
         self.upload_lock = anyio.Lock()
         self.upload_received = False  # whether the last byte of the upload has been received
@@ -203,6 +205,8 @@
                 self.server_state.handler.client_disconnected(self.exchange)
             if self.download is not None:
                 self.download.abort()
+                if self.ends_by_close:
+                    streams.reset(self.stream)
             await streams.close(self.stream)
 
     def close_if_idle(self) -> None:
@@ -576,6 +580,8 @@
             data += self.http.send(h11.Data(data=body)) or b""
         if pipe is not None:
             self.download = pipe
+            has_length = b"content-length" in dict(response.headers)
+            self.ends_by_close = not has_length and self.http.their_http_version != b"1.1"
             limit_kernel_buffers(self.stream)
             self.outbox.append(data)
             self.write_event.set()
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -14,6 +14,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 MAX_READ_BYTES = 256_000  # the most that the event loop reads at once
+_LINGER_ZERO = struct.pack("ii", 1, 0)  # a close drops what is unsent and resets the connection
 # Raised where either side has closed the stream.
 STREAM_CLOSED_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
@@ -83,6 +84,16 @@
         self.transport.pause_reading()
 
 
+def reset(stream: SocketStream) -> None:
+    """Ends a connection by a reset, so that nobody can take the end of its bytes for the end of a message.
+
+    What is not sent yet is dropped. Errors are ignored: then a plain close follows.
+    """
+    with suppress(Exception):
+        raw_socket(stream).setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+        stream._transport.abort()  # a close by anyio would end the sending in order first
+
+
 def limit_reads(stream: SocketStream) -> SocketStream:
     """Makes `stream` queue no more than one read of at most `MAX_READ_BYTES`; returns the same stream."""
     transport = getattr(stream, "_transport", None)
