A large request that is held back is answered in its client's time

Cause: the client's time did not run while the node held a body back. The reading task waits in BodyBudget.acquire without a limit, the connection is not read meanwhile, and the module has 900 s more until the body has been passed on whole. The same cause elsewhere: 5 s for a backend that takes no part, whatever the deadline; the time counted anew from the end of the passing on; a reading task that went on waiting for a request that had been answered; a body passed on after its client had left.

Change: clients/upload.py, with what ClientConnection had of this, keeps the latest time at which the last byte is known not to have been received (the node waited for its client, or a peek shows that the rest is not there). A task for each large request ends it when its client's time has passed since then, or a part is held for 5 s; what is left of the time goes to the module with the whole body. The wait for room ends with the answer, and a client that left meanwhile ends the request. Why it works: the last byte cannot have come before the time that is kept, so the answer is never late; a body that is still being sent is not cut, since a look that does not find its end begins the time anew.

--- /dev/null
+++ b/tests/test_upload_limits.py
@@ -0,0 +1,168 @@
+"""Large requests that the node holds back: each gets its answer in its client's time."""
+
+from __future__ import annotations
+
+import random
+import socket
+
+import anyio
+import pytest
+from harness import Client, LoopbackCluster, ReceivedMessage, list_line, list_reply, reply, wait_until
+
+from thornladder.node import service
+from thornladder.node.flow import BODY_PIPE_BYTES
+from thornladder.node.streams import BodyBudget
+
+pytestmark = pytest.mark.anyio
+BODY = random.Random(7).randbytes(300_000)
+# A final answer counts up to 0.5 s after the client's time, and each limit is 0.05 s longer on sockets.
+GRACE_SECONDS = 0.55
+FRAMINGS = pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunks"])
+
+
+class ObservedBudget(BodyBudget):
+    """The budget of the node that was started last; a test can take all of it."""
+
+    latest: ObservedBudget
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit)
+        ObservedBudget.latest = self
+
+    async def fill(self) -> int:
+        """Takes all the room that there is, for a holder of the test; returns how many bytes that is."""
+        taken = 0
+        while self.used < self.limit or self.overdraft_holder is None:
+            await self.acquire(BODY_PIPE_BYTES, self)
+            taken += BODY_PIPE_BYTES
+        return taken
+
+
+@pytest.fixture(autouse=True)
+def observed_budget(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(service, "BodyBudget", ObservedBudget)
+
+
+def done(_: ReceivedMessage) -> bytes:
+    return reply(200)
+
+
+def encode_head(id: str, budget_ms: int, length: int | None) -> bytes:
+    framing = "Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}"
+    return (
+        f"POST /pay HTTP/1.1\r\nHost: a\r\nX-Call-Id: {id}\r\nX-Budget-Ms: {budget_ms}\r\n{framing}\r\n\r\n"
+    ).encode()
+
+
+def encode_request(id: str, budget_ms: int, body: bytes, chunked: bool) -> bytes:
+    if not chunked:
+        return encode_head(id, budget_ms, len(body)) + body
+    parts = [body[offset : offset + 50_000] for offset in range(0, len(body), 50_000)]
+    chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in (*parts, b""))
+    return encode_head(id, budget_ms, None) + chunks
+
+
+async def answer_within(client: Client, seconds: float) -> ReceivedMessage:
+    with anyio.fail_after(seconds):
+        return await client.answer_to("a")
+
+
+async def move_to_unreading_backend(cluster: LoopbackCluster, port: int) -> None:
+    """Replaces the backends by one at `port`, to which the kernel connects and that nobody reads from."""
+    update = list_reply(2, list_line(0, port))
+    cluster.discovery.answer = lambda message: update if "from=1" in message.target else None
+    for stream in list(cluster.discovery.streams):
+        await stream.aclose()
+    await wait_until(lambda: any("from=2" in message.target for message in cluster.discovery.received))
+
+
+@FRAMINGS
+async def test_a_request_that_finds_no_room_is_answered_in_its_time(chunked: bool) -> None:
+    """Guards against a wait for the body budget without a limit: the answer came once others had ended."""
+    async with LoopbackCluster(done) as cluster:
+        await ObservedBudget.latest.fill()
+        client = await cluster.client()
+        await client.stream.send(encode_request("a", 600, BODY[:100_000], chunked))
+        assert (await answer_within(client, 0.6 + GRACE_SECONDS)).target == "503"
+        assert not cluster.backends[0].received
+
+
+async def test_a_request_whose_backend_reads_nothing_is_answered_in_its_time() -> None:
+    """Guards against a stall limit that is longer than the client's time: the answer came after 5 s."""
+    async with LoopbackCluster(done) as cluster, anyio.create_task_group() as tasks:
+        with socket.create_server(("127.0.0.1", 0)) as unreading:
+            unreading.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await move_to_unreading_backend(cluster, unreading.getsockname()[1])
+            client = await cluster.client()
+            # With what the buffers on its way hold, all of it soon is on the node's side.
+            tasks.start_soon(client.stream.send, encode_request("a", 600, BODY, False))
+            assert (await answer_within(client, 0.6 + GRACE_SECONDS)).target == "503"
+            tasks.cancel_scope.cancel()
+
+
+@FRAMINGS
+async def test_a_request_that_is_still_being_sent_may_be_held_back_for_longer(chunked: bool) -> None:
+    """Guards against a client's time that begins before its last byte has been received."""
+    async with LoopbackCluster(done) as cluster:
+        taken = await ObservedBudget.latest.fill()
+        client = await cluster.client()
+        data = encode_request("a", 300, BODY, chunked)
+        await client.stream.send(data[:100_000])
+        await anyio.sleep(1.0)
+        ObservedBudget.latest.release(taken, ObservedBudget.latest)
+        await client.stream.send(data[100_000:])
+        assert (await answer_within(client, 2.0)).target == "200"
+        assert cluster.backends[0].received[0].body == BODY
+
+
+async def test_the_time_of_a_request_counts_while_it_is_held_back() -> None:
+    """Guards against a client's time that begins only when its body has been passed on."""
+    async with LoopbackCluster(lambda _: None) as cluster:
+        taken = await ObservedBudget.latest.fill()
+        client = await cluster.client()
+        await client.stream.send(encode_request("a", 900, BODY[:100_000], False))
+        sent_at = anyio.current_time()
+        await anyio.sleep(0.8)
+        ObservedBudget.latest.release(taken, ObservedBudget.latest)
+        answer = await answer_within(client, sent_at + 0.9 + GRACE_SECONDS - anyio.current_time())
+        assert answer.target in (
+            "502",
+            "503",
+        )  # 503: there was no room in time
+
+
+async def test_a_connection_is_read_on_after_an_early_answer_to_a_request_without_room() -> None:
+    """Guards against a reading task that waits for room for a request that has been answered."""
+    async with LoopbackCluster(done) as cluster:
+        await ObservedBudget.latest.fill()
+        client = await cluster.client()
+        await client.stream.send(encode_request("a", 900, BODY[:100_000], False))
+        await wait_until(lambda: cluster.backends[0].head_ids)
+        await cluster.backends[0].streams[0].aclose()
+        assert (await answer_within(client, 0.9 + GRACE_SECONDS)).target == "503"
+        await client.stream.send(encode_request("b", 900, b"x", False))
+        assert (await answer_within(client, 0.9 + GRACE_SECONDS)).target == "200"
+
+
+async def test_the_body_of_a_client_that_left_while_it_had_no_room_is_not_passed_on() -> None:
+    """Guards against a request that runs although its client had left before there was room for it."""
+    async with LoopbackCluster(done) as cluster:
+        taken = await ObservedBudget.latest.fill()
+        client = await cluster.client()
+        await client.stream.send(encode_request("a", 900, BODY[:100_000], False))
+        await wait_until(lambda: cluster.backends[0].head_ids)
+        await client.stream.aclose()
+        await anyio.sleep(0.2)
+        ObservedBudget.latest.release(taken, ObservedBudget.latest)
+        await wait_until(lambda: cluster.backends[0].closed == 1)
+        assert not cluster.backends[0].received
+        await wait_until(lambda: ObservedBudget.latest.used == 0)
+
+
+async def test_an_answer_that_finds_no_room_ends_in_its_clients_time() -> None:
+    """Guards against a wait for the body budget without a limit in the other direction."""
+    async with LoopbackCluster(lambda _: reply(200, BODY)) as cluster:
+        await ObservedBudget.latest.fill()
+        client = await cluster.client()
+        await client.stream.send(encode_request("a", 600, b"x", False))
+        assert (await answer_within(client, 0.6 + GRACE_SECONDS)).target == "502"
--- a/thornladder/measures/rollout.py
+++ b/thornladder/measures/rollout.py
@@ -189,7 +189,10 @@
 class InstantHandler:
     """Handler of the HTTP server that completes each invocation at once."""
 
-    def body_received(self, exchange: Exchange) -> None: ...
+    def body_time_left(self, exchange: Exchange, unread_seconds: float) -> float:
+        return exchange.time_budget - unread_seconds
+
+    def body_received(self, exchange: Exchange, unread_seconds: float) -> None: ...
 
     def body_stalled(self, exchange: Exchange) -> None: ...
 
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -9,13 +9,14 @@
 
 import anyio
 import h11
-from anyio.abc import SocketStream
+from anyio.abc import SocketStream, TaskGroup
 
 from thornladder.interface import Offering
 from thornladder.node import messages, streams
 from thornladder.node.clients.early import EarlyShedder, ShedPolicy
+from thornladder.node.clients.upload import Upload
 from thornladder.node.exchange import Exchange
-from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe, limit_kernel_buffers
+from thornladder.node.flow import BodyPipe, limit_kernel_buffers
 from thornladder.node.messages import MAX_BODY_BYTES, MAX_BUFFERED_BYTES, BadRequest, ClientResponse
 from thornladder.node.shutdown import ShutdownSchedule
 from thornladder.node.streams import STREAM_CLOSED_ERRORS, BodyBudget, has_unread_data
@@ -28,12 +29,16 @@
         """Starts an invocation; returns False if one with the same id is in flight."""
         ...
 
-    def body_received(self, exchange: Exchange) -> None:
-        """The last byte of a streamed request body has been received."""
+    def body_time_left(self, exchange: Exchange, unread_seconds: float) -> float:
+        """Seconds until a streamed request has to be answered, if it was received so long ago."""
+        ...
+
+    def body_received(self, exchange: Exchange, unread_seconds: float) -> None:
+        """A streamed request body, received whole `unread_seconds` ago, has been passed on."""
         ...
 
     def body_stalled(self, exchange: Exchange) -> None:
-        """The backend does not read the streamed request body."""
+        """The streamed request body cannot be passed on in time."""
         ...
 
     def client_disconnected(self, exchange: Exchange) -> None:
@@ -125,7 +130,10 @@
     # MIN_BODY_BYTES_PER_SECOND.
     RECEIVE_TIMEOUT_SECONDS = 2.6
     MIN_BODY_BYTES_PER_SECOND = 56_000.0  # clients send 64 kB/s, but in pieces; hence the margin
-    UPLOAD_STALL_SECONDS = 5.0  # for a backend to take one part of a body; slow ones take one a second
+    # For one part of a body to be passed on: for room in the budget, or for the backend to take it. Slow
+    # backends take one a second.
+    UPLOAD_STALL_SECONDS = 5.0
+    UPLOAD_WATCH_SECONDS = 0.01  # between looks at an upload whose time may be up
     DOWNLOAD_STALL_SECONDS = 10.0  # for a client to take part of a response; longer than any cut-off
 
     def __init__(
@@ -147,18 +155,15 @@
         self.body = bytearray()
         # `upload` and `download` as seen from the client: the bodies of the current request and response, if
         # they are streamed.
-        self.upload: BodyPipe | None = None
+        self.upload: Upload | None = None
         self.discarding = False  # whether the rest of an answered request is being read and dropped
-        self.pending_parts: list[bytes] = []  # body parts read but not yet passed to `upload`
         self.received_bytes = 0  # of the current request body
         # Total time spent waiting for data of the current request, and start of the present wait (0: none).
         self.read_wait_seconds, self.read_started_at = 0.0, 0.0
         self.download: BodyPipe | None = None
         # Whether the client, of HTTP/1.0, takes the end of the connection for the end of `download`.
         self.ends_by_close = False
-        self.budgeted_upload: BodyPipe | None = None  # the upload counted against the body budget
         self.upload_lock = anyio.Lock()
-        self.upload_received = False  # whether the last byte of the upload has been received
         # Whether sending waits for the client to read, rather than for the backend's next body part.
         self.awaiting_client = True
         self.exchange: Exchange | None = None
@@ -171,6 +176,7 @@
         self.message_started_at = self.last_activity
         self.request_seen = False  # whether a request was ever handled, shed or begun to be streamed
         self.scope = anyio.CancelScope()
+        self.tasks: TaskGroup  # set by `serve`
 
     @property
     def idle(self) -> bool:
@@ -193,7 +199,7 @@
         """Serves the connection until it ends, and closes it; errors are logged, not raised."""
         try:
             async with anyio.create_task_group() as tasks:
-                self.scope = tasks.cancel_scope
+                self.scope, self.tasks = tasks.cancel_scope, tasks
                 tasks.start_soon(self._write_loop)
                 await self._read_loop()
                 tasks.cancel_scope.cancel()
@@ -278,6 +284,8 @@
     async def _read_loop(self) -> None:
         discarded = 0
         while True:
+            if self.upload is not None:
+                self.upload.before_read()
             try:
                 self.read_started_at = self.server_state.clock()
                 data = self.initial_data or await self.stream.receive()
@@ -288,6 +296,8 @@
                     self.read_wait_seconds + self.server_state.clock() - self.read_started_at,
                     0.0,
                 )
+            if self.upload is not None:
+                self.upload.after_read()
             # Early shedding of the initial data was decided when the connection was accepted.
             shed_check_done, self.initial_data = bool(self.initial_data), b""
             if not shed_check_done and self.server_state.is_lagging():
@@ -328,40 +338,45 @@
     async def _forward_upload(self) -> None:
         """Passes received parts of a streamed body to its pipe.
 
-        Blocks the reading task while the pipe is full (backpressure).
+        Blocks the reading task while there is no room for them or the pipe is full (backpressure);
+        `_watch_upload` ends that in time.
         """
         async with self.upload_lock:
-            if self.upload is not None and self.budgeted_upload is None:
-                pipe = self.upload
-                await self.server_state.body_budget.acquire(BODY_PIPE_BYTES, pipe)
-                self.budgeted_upload = pipe
-                if self.upload is not pipe:
-                    self._release_budget()
-            while self.pending_parts:
-                part = self.pending_parts.pop(0)
-                if self.upload is None:
-                    continue
-                with anyio.move_on_after(self.UPLOAD_STALL_SECONDS) as stall_scope:
-                    await self.upload.send(part)
-                if stall_scope.cancelled_caught and self.exchange is not None:
-                    # Without this a client would wait forever on a backend that reads nothing.
-                    self.server_state.handler.body_stalled(self.exchange)
-            if self.upload is not None and self.upload_received:
+            upload = self.upload
+            if upload is None:
+                return
+            had_to_wait = await upload.wait_for_room()
+            if had_to_wait and self.upload is upload and self._client_left():
+                self.scope.cancel()  # the request must not run any more
+                return
+            await upload.forward()
+            if self.upload is upload and upload.read_whole:
+                unread_seconds = upload.unread_seconds
                 self._finish_upload(True)
                 if self.exchange is not None:
-                    self.server_state.handler.body_received(self.exchange)
+                    self.server_state.handler.body_received(self.exchange, unread_seconds)
+
+    async def _watch_upload(self, upload: Upload, exchange: Exchange) -> None:
+        """Ends an invocation whose body is held back, for as long as its client waits or a part stalls.
+
+        The client's time counts from the last byte, which may have been received, unread, while the body is
+        held back.
+        """
+        handler = self.server_state.handler
+        with upload.watch_scope:
+            while not upload.finished:
+                time_left = handler.body_time_left(exchange, upload.unread_seconds)
+                stall_time_left = self.UPLOAD_STALL_SECONDS - upload.held_seconds
+                time_is_up = time_left <= 0.0 and not upload.awaiting_client
+                if stall_time_left <= 0.0 or (time_is_up and upload.may_be_received(self.received_bytes)):
+                    handler.body_stalled(exchange)
+                    return
+                await anyio.sleep(max(min(time_left, stall_time_left), self.UPLOAD_WATCH_SECONDS))
 
     def _finish_upload(self, complete: bool) -> None:
         if self.upload is not None:
             self.upload.finish(complete)
             self.upload = None
-            self.pending_parts.clear()
-            self._release_budget()
-
-    def _release_budget(self) -> None:
-        if self.budgeted_upload is not None:
-            self.server_state.body_budget.release(BODY_PIPE_BYTES, self.budgeted_upload)
-            self.budgeted_upload = None
 
     def _abort_request(self, status: int, message: str) -> None:
         """Drops an incomplete or malformed request and rejects it.
@@ -458,7 +473,7 @@
                     self._start_next_cycle()
                     self.write_event.set()
                 elif self.upload is not None:
-                    self.upload_received = True
+                    self.upload.on_read_whole()
                 else:
                     self._handle_message()
                 return
@@ -474,7 +489,7 @@
         elif self.received_bytes > MAX_BODY_BYTES:
             self._abort_request(413, "the body is too long")
         elif self.upload is not None:
-            self.pending_parts.append(bytes(data))
+            self.upload.pending_parts.append(bytes(data))
         elif not self.discarding:
             self.body += data
             if len(self.body) > MAX_BUFFERED_BYTES:
@@ -490,13 +505,18 @@
             self._reject(decoded.status, decoded.message)
             return
         limit_kernel_buffers(self.stream)
-        self.upload, self.upload_received = pipe, False
+        self.upload = Upload(
+            pipe, decoded[1].length, self.stream, self.server_state.body_budget, self.server_state.clock,
+            self.unread_seconds,
+        )  # fmt: skip
         self.body.clear()
         self.exchange = Exchange(*decoded, self._deliver, self.unread_seconds, self._client_left)
         self.unread_seconds = 0.0
         if not self.server_state.handler.start_invocation(self.exchange):
             self.exchange = None
             self._abort_request(400, "this X-Call-Id is in hand")
+        elif self.upload is not None:
+            self.tasks.start_soon(self._watch_upload, self.upload, self.exchange)
 
     def _handle_message(self) -> None:
         """Handles a complete request: a health check or an invocation."""
@@ -571,9 +591,9 @@
         if self.upload is not None:
             # Unless the connection is closing, the rest of the request is read and dropped: closing while the
             # client sends causes a reset that can overtake the response.
-            self.upload.abort()
+            self.upload.pipe.abort()
             client_sends_body = not self.http.they_are_waiting_for_100_continue
-            self.discarding = not self.upload_received and not self.closing and client_sends_body
+            self.discarding = not self.upload.read_whole and not self.closing and client_sends_body
             self._finish_upload(False)
         data = self.http.send(response) or b""
         if body and not head_only:
--- /dev/null
+++ b/thornladder/node/clients/upload.py
@@ -0,0 +1,126 @@
+"""A large request body on its way from a client's connection to the push that sends it on."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+
+import anyio
+from anyio.abc import SocketStream
+
+from thornladder.node import streams
+from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe
+from thornladder.node.streams import BodyBudget
+
+
+class Upload:
+    """A streamed request body: what has been read and is not passed on yet, and how long that takes.
+
+    The body is held back while it waits for room in the body budget, or for its backend. The node reads no
+    more of it meanwhile, so its last byte, from which on the client's time counts, may have been received
+    without having been read.
+    """
+
+    def __init__(
+        self,
+        pipe: BodyPipe,
+        length: int | None,
+        stream: SocketStream,
+        body_budget: BodyBudget,
+        clock: Callable[[], float],
+        unread_seconds: float,
+    ) -> None:
+        """`length`: by Content-Length, None if chunked. `unread_seconds`: how long its start lay unread."""
+        self.pipe, self.length, self.stream = pipe, length, stream
+        self.body_budget, self.clock = body_budget, clock
+        self.pending_parts: deque[bytes] = deque()  # read, but not yet passed to `pipe`
+        self.read_whole = False  # whether the last byte has been read
+        self.finished = False
+        self.has_room = False
+        self.held_since: float | None = None  # since when the present part waits to be passed on
+        self.awaiting_client = False  # whether all that was received has been read and passed on
+        # The last byte was not received before this time, nor read whole if that is later.
+        self.received_after = clock() - unread_seconds
+        self.forward_scope = anyio.CancelScope()  # of the present call of `wait_for_room` or `forward`
+        self.watch_scope = anyio.CancelScope()  # of whatever watches over this upload
+
+    @property
+    def unread_seconds(self) -> float:
+        """For how long at most the last byte has been received, in seconds."""
+        return 0.0 if self.awaiting_client else max(self.clock() - self.received_after, 0.0)
+
+    @property
+    def held_seconds(self) -> float:
+        """For how long the present part has waited for room or for the backend, in seconds."""
+        return 0.0 if self.held_since is None else self.clock() - self.held_since
+
+    def before_read(self) -> None:
+        """The node is about to read: it waits for its client unless something has been received already."""
+        self.awaiting_client = not streams.has_unread_data(self.stream)
+
+    def after_read(self) -> None:
+        """The node has read something."""
+        if self.awaiting_client:
+            self.awaiting_client, self.received_after = False, self.clock()
+
+    def on_read_whole(self) -> None:
+        """The last byte has been read; finds out when it was received."""
+        self.read_whole = True
+        with suppress(Exception):  # a socket that is being closed
+            if since_received := streams.seconds_since_last_data(streams.raw_socket(self.stream)):
+                self.received_after = max(self.received_after, self.clock() - since_received)
+
+    def may_be_received(self, read_bytes: int) -> bool:
+        """Whether the last byte may have been received by now, of a body of which `read_bytes` were read.
+
+        If it cannot have been, the client's time has not begun.
+        """
+        if self.read_whole or self._may_be_unread(read_bytes):
+            return True
+        self.received_after = self.clock()
+        return False
+
+    def _may_be_unread(self, read_bytes: int) -> bool:
+        unread = streams.peek_unread(self.stream)
+        if unread is None or len(unread) >= streams.MAX_PEEK_BYTES:
+            return True
+        if self.length is not None:
+            return len(unread) >= self.length - read_bytes
+        return unread.endswith(b"\n")  # as a last chunk and its trailers do
+
+    async def wait_for_room(self) -> bool:
+        """Waits for room in the body budget, or until the upload is finished; returns whether it had to."""
+        if self.has_room or self.finished:
+            return False
+        must_wait = not self.body_budget.has_room(BODY_PIPE_BYTES, self)
+        self.held_since = self.clock()
+        with anyio.CancelScope() as self.forward_scope:
+            await self.body_budget.acquire(BODY_PIPE_BYTES, self)
+            self.has_room = True
+            if self.finished:
+                self._release_room()
+        self.held_since = None
+        return must_wait
+
+    async def forward(self) -> None:
+        """Passes on what has been read, until the upload is finished."""
+        with anyio.CancelScope() as self.forward_scope:
+            while self.pending_parts:
+                self.held_since = self.clock()
+                await self.pipe.send(self.pending_parts.popleft())
+        self.held_since = None
+
+    def finish(self, complete: bool) -> None:
+        """Ends the body; `complete` is False if the rest of it will not be passed on."""
+        self.finished = True
+        self.pipe.finish(complete)
+        self.pending_parts.clear()
+        self.forward_scope.cancel()
+        self.watch_scope.cancel()
+        self._release_room()
+
+    def _release_room(self) -> None:
+        if self.has_room:
+            self.has_room = False
+            self.body_budget.release(BODY_PIPE_BYTES, self)
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -215,18 +215,22 @@
         for exchange in self.unanswered:
             self._terminate_lost(exchange)
 
-    def body_received(self, exchange: Exchange) -> None:
-        """The last byte of a streamed body was received; the client's time counts from now on."""
+    def body_time_left(self, exchange: Exchange, unread_seconds: float) -> float:
+        """Seconds for which a body may be held back if its last byte was received `unread_seconds` ago."""
+        return self._time_left(exchange.time_budget, unread_seconds)
+
+    def body_received(self, exchange: Exchange, unread_seconds: float) -> None:
+        """A streamed body was passed on whole; the client's time has counted for `unread_seconds`."""
         if exchange.finished:
             return
         exchange.body_incoming = False
-        time_left = self._time_left(exchange.time_budget, 0.0)
+        time_left = self._time_left(exchange.time_budget, unread_seconds)
         for scope in exchange.push_scopes:
             scope.deadline = anyio.current_time() + time_left
         self._dispatch_for(exchange, self.node.on_whole, exchange.invocation.id, time_left)
 
     def body_stalled(self, exchange: Exchange) -> None:
-        """The backend does not read the body; its push ends as one that never ran."""
+        """The body cannot be passed on in time; its push ends as one that never ran."""
         exchange.cancel_pushes()
 
     def client_disconnected(self, exchange: Exchange) -> None:
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -14,6 +14,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 MAX_READ_BYTES = 256_000  # the most that the event loop reads at once
+MAX_PEEK_BYTES = 2**20  # more than the kernel holds of a connection whose buffers are limited
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # a close drops what is unsent and resets the connection
 # Raised where either side has closed the stream.
 STREAM_CLOSED_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
@@ -46,12 +47,17 @@
         self.overdraft_holder: object | None = None
         self.released = anyio.Event()
 
+    def has_room(self, size: int, holder: object) -> bool:
+        """Whether `size` bytes fit the limit, or `holder` may exceed it."""
+        return self.used + size <= self.limit or self.overdraft_holder in (None, holder)
+
     async def acquire(self, size: int, holder: object) -> None:
         """Reserves `size` bytes, waiting until they fit the limit or no other holder exceeds it.
 
-        One holder may exceed the limit: otherwise several with a part each could all wait forever.
+        One holder may exceed the limit: otherwise several with a part each could all wait forever. The wait
+        has no limit of its own: the caller has to end it in time.
         """
-        while self.used + size > self.limit and self.overdraft_holder not in (None, holder):
+        while not self.has_room(size, holder):
             await self.released.wait()
         if self.used + size > self.limit:
             self.overdraft_holder = holder
@@ -162,16 +168,42 @@
         return True
     # Where poll does not distinguish the end of the stream from data, peeking reads nothing.
     try:
-        duplicate = socket.socket(fileno=os.dup(_fileno(stream)))
+        return not _peek(stream, 1)
+    except BlockingIOError:
+        return False
+    except _DescriptorError:
+        return False
     except OSError:
-        return False  # out of file descriptors
+        return True
+
+
+def peek_unread(stream: SocketStream) -> bytes | None:
+    """Returns what has been received and not yet read, without reading it, but at most `MAX_PEEK_BYTES`.
+
+    None if the socket cannot be inspected.
+    """
+    queue = getattr(getattr(stream, "_protocol", None), "read_queue", ())
+    queued = b"".join(queue)
+    try:
+        return queued + _peek(stream, MAX_PEEK_BYTES)
+    except BlockingIOError:
+        return queued
+    except Exception:
+        return None
+
+
+class _DescriptorError(OSError):
+    """A socket could not be duplicated: it is closed, or the process is out of file descriptors."""
+
+
+def _peek(stream: SocketStream, size: int) -> bytes:
+    """Returns up to `size` bytes that the kernel has received, b"" at the end of the stream."""
+    try:
+        duplicate = socket.socket(fileno=os.dup(_fileno(stream)))
+    except OSError as error:
+        raise _DescriptorError from error
     with duplicate:
-        try:
-            return not duplicate.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return duplicate.recv(size, socket.MSG_PEEK | socket.MSG_DONTWAIT)
 
 
 def has_unread_data(stream: SocketStream) -> bool:
--- a/thornladder/rig/flawed.py
+++ b/thornladder/rig/flawed.py
@@ -48,11 +48,8 @@
     ) -> tuple[InvocationHandler, ShedPolicy]:
         """Puts this extension before the handler; all calls but `start_invocation` go straight to it."""
         self.handler = handler
-        self.body_received, self.body_stalled, self.client_disconnected = (
-            handler.body_received,
-            handler.body_stalled,
-            handler.client_disconnected,
-        )
+        self.body_time_left, self.body_received = handler.body_time_left, handler.body_received
+        self.body_stalled, self.client_disconnected = handler.body_stalled, handler.client_disconnected
         return self, shed_policy
 
     def start(self, context: NodeContext) -> None:
--- a/thornladder/rollout/counters.py
+++ b/thornladder/rollout/counters.py
@@ -159,7 +159,8 @@
 
     def __init__(self, handler: InvocationHandler, counters: Counters) -> None:
         self.handler, self.counters = handler, counters
-        self.body_received, self.body_stalled = handler.body_received, handler.body_stalled
+        self.body_time_left, self.body_received = handler.body_time_left, handler.body_received
+        self.body_stalled = handler.body_stalled
 
     def start_invocation(self, exchange: Exchange) -> bool:
         counters, clock = self.counters, self.counters.clock
