A large request reserves room only while a part of it waits for its backend

Cause: a large request held 256 KiB of BodyBudget from its first part to its last. Of a client that writes 64 kB/s next to nothing is here at any moment, and 80 such clients held all of the room.

Change: an upload gives its room back when the backend's connection has taken the last part that was read, and asks again with the next one. Why it works: what is counted is what is here, so only backends that do not read and clients that read slowly hold room. Not taken: the same for answers, of which a part always waits for a slow reader.

--- a/tests/test_upload_limits.py
+++ b/tests/test_upload_limits.py
@@ -4,6 +4,7 @@
 
 import random
 import socket
+from contextlib import suppress
 
 import anyio
 import pytest
@@ -82,7 +83,7 @@
     async with LoopbackCluster(done) as cluster:
         await ObservedBudget.latest.fill()
         client = await cluster.client()
-        await client.stream.send(encode_request("a", 600, BODY[:100_000], chunked))
+        await client.stream.send(encode_request("a", 600, BODY[:200_000], chunked))
         assert (await answer_within(client, 0.6 + GRACE_SECONDS)).target == "503"
         assert not cluster.backends[0].received
 
@@ -100,6 +101,90 @@
             tasks.cancel_scope.cancel()
 
 
+@FRAMINGS
+async def test_slow_clients_leave_room_for_others(chunked: bool) -> None:
+    """Guards against room that is held for bodies of which nothing is here: others were refused for it."""
+    async with LoopbackCluster(done, memory=4) as cluster:
+        slow_requests = [encode_request(f"slow{number}", 900, BODY, chunked) for number in range(12)]
+        slow_clients = [await cluster.client() for _ in slow_requests]
+        for client, data in zip(slow_clients, slow_requests, strict=True):
+            await client.stream.send(data[:150_000])
+        await wait_until(lambda: len(cluster.backends[0].head_ids) == len(slow_clients))
+        await wait_until(lambda: ObservedBudget.latest.used == 0)
+        client = await cluster.client()
+        await client.stream.send(encode_request("a", 900, BODY[:100_000], chunked))
+        assert (await answer_within(client, 0.9 + GRACE_SECONDS)).target == "200"
+        for slow_client, data in zip(slow_clients, slow_requests, strict=True):
+            await slow_client.stream.send(data[150_000:])
+            assert (await answer_within(slow_client, 0.9 + GRACE_SECONDS)).target == "200"
+        assert all(message.body in (BODY, BODY[:100_000]) for message in cluster.backends[0].received)
+        assert ObservedBudget.latest.used == 0
+
+
+async def test_a_part_that_its_backend_has_not_taken_keeps_its_room() -> None:
+    """Guards against memory that is in use and not counted."""
+    async with LoopbackCluster(done) as cluster, anyio.create_task_group() as tasks:
+        with socket.create_server(("127.0.0.1", 0)) as unreading:
+            await move_to_unreading_backend(cluster, unreading.getsockname()[1])
+            client = await cluster.client()
+
+            async def send() -> None:
+                with suppress(anyio.ClosedResourceError):
+                    await client.stream.send(encode_request("a", 900, 100 * BODY, False))
+
+            tasks.start_soon(send)
+            await wait_until(lambda: ObservedBudget.latest.used == BODY_PIPE_BYTES)
+            await anyio.sleep(0.3)
+            assert ObservedBudget.latest.used == BODY_PIPE_BYTES
+            await client.stream.aclose()
+            await wait_until(lambda: ObservedBudget.latest.used == 0, 10.0)
+            tasks.cancel_scope.cancel()
+
+
+async def test_room_is_given_in_the_order_of_asking_and_back_when_a_wait_is_cancelled() -> None:
+    """Guards against a wait that others overtake, and against room that a cancelled wait keeps."""
+    budget, order = BodyBudget(10), []
+
+    async def hold(name: str, scope: anyio.CancelScope) -> None:
+        with scope:
+            await budget.acquire(10, name)
+            order.append(name)
+
+    await budget.acquire(10, "first")
+    await budget.acquire(10, "overdraft")
+    scopes = [anyio.CancelScope() for _ in range(4)]
+    async with anyio.create_task_group() as tasks:
+        for number, scope in enumerate(scopes):
+            tasks.start_soon(hold, str(number), scope)
+            await anyio.wait_all_tasks_blocked()
+        assert not budget.has_room(10, "late") and not order
+        scopes[1].cancel()
+        await anyio.wait_all_tasks_blocked()
+        scopes[0].cancel()  # in the moment in which it gets its room
+        budget.release(10, "overdraft")
+        await anyio.wait_all_tasks_blocked()
+        assert order == ["2"] and budget.used == 20
+        budget.release(10, "first")
+        budget.release(10, "2")
+    assert order == ["2", "3"] and budget.used == 10
+    budget.release(10, "3")
+    assert budget.used == 0 and budget.has_room(10, "late")
+
+
+async def test_a_higher_limit_lets_those_in_that_wait() -> None:
+    """Guards against a wait that goes on although another process has left its share of the memory."""
+    budget = BodyBudget(10)
+    await budget.acquire(10, "first")
+    await budget.acquire(10, "overdraft")
+    with anyio.fail_after(5.0):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(budget.acquire, 10, "late")
+            await anyio.wait_all_tasks_blocked()
+            assert budget.used == 20
+            budget.limit = 30
+    assert budget.used == 30
+
+
 @FRAMINGS
 async def test_a_request_that_is_still_being_sent_may_be_held_back_for_longer(chunked: bool) -> None:
     """Guards against a client's time that begins before its last byte has been received."""
--- a/thornladder/node/clients/upload.py
+++ b/thornladder/node/clients/upload.py
@@ -17,7 +17,8 @@
 class Upload:
     """A streamed request body: what has been read and is not passed on yet, and how long that takes.
 
-    The body is held back while it waits for room in the body budget, or for its backend. The node reads no
+    Room in the body budget is reserved only while parts of the body wait for the backend, not while the node
+    waits for the client. The body is held back while it waits for room, or for its backend. The node reads no
     more of it meanwhile, so its last byte, from which on the client's time counts, may have been received
     without having been read.
     """
@@ -38,12 +39,14 @@
         self.read_whole = False  # whether the last byte has been read
         self.finished = False
         self.has_room = False
+        self.unconsumed_parts = 0  # passed to `pipe`, and not yet taken by the backend
         self.held_since: float | None = None  # since when the present part waits to be passed on
         self.awaiting_client = False  # whether all that was received has been read and passed on
         # The last byte was not received before this time, nor read whole if that is later.
         self.received_after = clock() - unread_seconds
         self.forward_scope = anyio.CancelScope()  # of the present call of `wait_for_room` or `forward`
         self.watch_scope = anyio.CancelScope()  # of whatever watches over this upload
+        pipe.on_consumed = self._on_consumed
 
     @property
     def unread_seconds(self) -> float:
@@ -90,8 +93,8 @@
         return unread.endswith(b"\n")  # as a last chunk and its trailers do
 
     async def wait_for_room(self) -> bool:
-        """Waits for room in the body budget, or until the upload is finished; returns whether it had to."""
-        if self.has_room or self.finished:
+        """Waits for room for what has been read, unless the upload ends; returns whether it had to."""
+        if self.has_room or self.finished or not self.pending_parts:
             return False
         must_wait = not self.body_budget.has_room(BODY_PIPE_BYTES, self)
         self.held_since = self.clock()
@@ -108,6 +111,7 @@
         with anyio.CancelScope() as self.forward_scope:
             while self.pending_parts:
                 self.held_since = self.clock()
+                self.unconsumed_parts += 1
                 await self.pipe.send(self.pending_parts.popleft())
         self.held_since = None
 
@@ -120,6 +124,11 @@
         self.watch_scope.cancel()
         self._release_room()
 
+    def _on_consumed(self) -> None:
+        self.unconsumed_parts -= 1
+        if not self.unconsumed_parts and not self.pending_parts:
+            self._release_room()
+
     def _release_room(self) -> None:
         if self.has_room:
             self.has_room = False
--- a/thornladder/node/flow.py
+++ b/thornladder/node/flow.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
 
 import anyio
@@ -20,6 +20,7 @@
     """Passes a body from a producer to a consumer, one part at a time; either side may leave early."""
 
     def __init__(self) -> None:
+        self.on_consumed: Callable[[], None] | None = None  # called when the consumer has used up a part
         self._sender, self._receiver = anyio.create_memory_object_stream[bytes](0)
         self.complete = False  # whether the producer has sent the whole body
         self.producer_scope: anyio.CancelScope | None = None  # cancelled when the consumer leaves
@@ -42,6 +43,8 @@
         with suppress(anyio.EndOfStream, anyio.ClosedResourceError):
             while True:
                 yield await self._receiver.receive()
+                if self.on_consumed is not None:
+                    self.on_consumed()
 
     def abort(self) -> None:
         """Ends the pipe on the consumer's side and cancels the producer."""
