The client's time of a fast upload does not begin before its last byte can have come

What callers would have seen: a 502 to a large request in good time, where its client had data on the way all along and the kernel does not say when the last of it came.

Cause: the time kept in Upload moved on only when the node had waited for its client, or the client's time was up. With data always there it stayed up to a whole deadline behind, and so did what was left of the time with the whole body.

Change: before each read of a body that has unread data, the same look decides whether its last byte can be among them; with over 1 MiB to go there is no look. So the time kept is at most one part behind.

--- a/tests/test_upload_limits.py
+++ b/tests/test_upload_limits.py
@@ -8,10 +8,12 @@
 
 import anyio
 import pytest
+from anyio.abc import SocketStream
 from harness import Client, LoopbackCluster, ReceivedMessage, list_line, list_reply, reply, wait_until
 
-from thornladder.node import service
-from thornladder.node.flow import BODY_PIPE_BYTES
+from thornladder.node import service, streams
+from thornladder.node.clients.upload import Upload
+from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe
 from thornladder.node.streams import BodyBudget
 
 pytestmark = pytest.mark.anyio
@@ -63,6 +65,13 @@
     return encode_head(id, budget_ms, None) + chunks
 
 
+def loopback_pair() -> tuple[socket.socket, socket.socket]:
+    """Two ends of a TCP connection."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        first = socket.create_connection(listener.getsockname())
+        return first, listener.accept()[0]
+
+
 async def answer_within(client: Client, seconds: float) -> ReceivedMessage:
     with anyio.fail_after(seconds):
         return await client.answer_to("a")
@@ -200,6 +209,37 @@
         assert cluster.backends[0].received[0].body == BODY
 
 
+@pytest.mark.parametrize(
+    ("length", "first", "last"), [(10, b"abc", b"defgh"), (None, b"3\r\nabc", b"\r\n0\r\n\r\n")],
+    ids=["length", "chunks"],
+)  # fmt: skip
+async def test_the_last_byte_is_not_taken_for_received_before_it_can_have_been(
+    length: int | None, first: bytes, last: bytes
+) -> None:
+    """Guards against a client's time that began long before the end of a fast upload to a slow backend."""
+    now = [100.0]
+    client_socket, node_socket = loopback_pair()
+    with client_socket:
+        async with await SocketStream.from_socket(node_socket) as stream:
+            streams.limit_reads(stream)
+            upload = Upload(BodyPipe(), length, stream, BodyBudget(2**20), lambda: now[0], 0.0)
+            client_socket.sendall(first)
+            await wait_until(lambda: streams.peek_unread(stream) == first)
+            now[0] += 5.0
+            upload.before_read(2)
+            assert not upload.awaiting_client and upload.unread_seconds == 0.0
+            client_socket.sendall(last)
+            await wait_until(lambda: streams.peek_unread(stream) == first + last)
+            now[0] += 2.0
+            upload.before_read(2)
+            assert upload.unread_seconds == 2.0
+            received = b""
+            while received != first + last:
+                received += await stream.receive()
+            upload.before_read(10)
+            assert upload.awaiting_client and upload.unread_seconds == 0.0
+
+
 async def test_the_time_of_a_request_counts_while_it_is_held_back() -> None:
     """Guards against a client's time that begins only when its body has been passed on."""
     async with LoopbackCluster(lambda _: None) as cluster:
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -285,7 +285,7 @@
         discarded = 0
         while True:
             if self.upload is not None:
-                self.upload.before_read()
+                self.upload.before_read(self.received_bytes)
             try:
                 self.read_started_at = self.server_state.clock()
                 data = self.initial_data or await self.stream.receive()
--- a/thornladder/node/clients/upload.py
+++ b/thornladder/node/clients/upload.py
@@ -58,9 +58,11 @@
         """For how long the present part has waited for room or for the backend, in seconds."""
         return 0.0 if self.held_since is None else self.clock() - self.held_since
 
-    def before_read(self) -> None:
-        """The node is about to read: it waits for its client unless something has been received already."""
+    def before_read(self, read_bytes: int) -> None:
+        """The node has passed on the `read_bytes` of the body that it has read, and is about to read on."""
         self.awaiting_client = not streams.has_unread_data(self.stream)
+        if not self.awaiting_client:
+            self.may_be_received(read_bytes)
 
     def after_read(self) -> None:
         """The node has read something."""
@@ -85,6 +87,8 @@
         return False
 
     def _may_be_unread(self, read_bytes: int) -> bool:
+        if self.length is not None and self.length - read_bytes > streams.MAX_PEEK_BYTES:
+            return False
         unread = streams.peek_unread(self.stream)
         if unread is None or len(unread) >= streams.MAX_PEEK_BYTES:
             return True
