--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -32,9 +32,9 @@
 
 from thornladder.interface import Invocation, Outcome
 from thornladder.node import messages, service, streams
+from thornladder.node.body_budget import BodyBudget
 from thornladder.node.clients.connection import ClientConnection
 from thornladder.node.flow import BODY_PIPE_BYTES
-from thornladder.node.streams import BodyBudget
 
 pytestmark = pytest.mark.anyio
 BODY = random.Random(5).randbytes(400_000)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -35,11 +35,12 @@
 from test_start import free_port, wait_until_ready
 
 from thornladder.interface import Offering
-from thornladder.node.clients.connection import ClientConnection, ServerState
+from thornladder.node.body_budget import BodyBudget
+from thornladder.node.clients.connection import ClientConnection
 from thornladder.node.clients.front import Front
+from thornladder.node.clients.server_state import ServerState
 from thornladder.node.host import NodeHost
 from thornladder.node.shutdown import ACCEPT_SECONDS, ShutdownSchedule
-from thornladder.node.streams import BodyBudget
 from thornladder.node.tasks import Tasks
 from thornladder.node.termination import Termination
 from thornladder.rig.soak.client import ConnectionLost, RawConnection
--- a/tests/test_upload_limits.py
+++ b/tests/test_upload_limits.py
@@ -12,9 +12,9 @@
 from harness import Client, LoopbackCluster, ReceivedMessage, list_line, list_reply, reply, wait_until
 
 from thornladder.node import service, streams
+from thornladder.node.body_budget import BodyBudget
 from thornladder.node.clients.upload import Upload
 from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe
-from thornladder.node.streams import BodyBudget
 
 pytestmark = pytest.mark.anyio
 BODY = random.Random(7).randbytes(300_000)
--- a/thornladder/membership/companion.py
+++ b/thornladder/membership/companion.py
@@ -21,8 +21,8 @@
 from thornladder.membership.transport import Transport
 from thornladder.membership.wire import State, split_address
 from thornladder.node.admin.calls import AdminRequest, AdminResponse, error_response
-from thornladder.node.clients.connection import InvocationHandler
 from thornladder.node.clients.early import ShedPolicy
+from thornladder.node.clients.server_state import InvocationHandler
 from thornladder.node.companion import ExtensionEndpoint, NodeContext
 from thornladder.node.handover import StateFile
 
--- a/thornladder/node/backends/pushes.py
+++ b/thornladder/node/backends/pushes.py
@@ -14,6 +14,7 @@
 from thornladder.interface import NO_REPORT, ListKind, LoadReport, Outcome, State
 from thornladder.node import messages
 from thornladder.node.backends.pool import Pool
+from thornladder.node.body_budget import BodyBudget
 from thornladder.node.exchange import Exchange
 from thornladder.node.http1 import Cause, Failure, Stage, UpstreamConnection
 from thornladder.node.messages import (
@@ -23,7 +24,6 @@
     UpstreamRequest,
     UpstreamResponse,
 )
-from thornladder.node.streams import BodyBudget
 from thornladder.node.tasks import Tasks
 from thornladder.settings import Address
 
--- /dev/null
+++ b/thornladder/node/body_budget.py
@@ -0,0 +1,85 @@
+"""The memory that streamed bodies may occupy in a node, shared by requests and responses."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+import anyio
+
+
+@dataclass(frozen=True, slots=True)
+class _Waiter:
+    """A holder that waits for room in a `BodyBudget`."""
+
+    size: int
+    holder: object
+    granted: anyio.Event
+
+
+class BodyBudget:
+    """Limits the memory, in bytes, that streamed bodies occupy in this node; first come, first served.
+
+    Without it many large bodies, or slow readers of them, would exhaust the memory.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit, self.used = limit, 0
+        # The one holder that may exceed the limit, so that holders cannot deadlock on each other.
+        self.overdraft_holder: object | None = None
+        self._waiters: deque[_Waiter] = deque()
+
+    @property
+    def limit(self) -> int:
+        """The limit in bytes, which one holder may exceed."""
+        return self._limit
+
+    @limit.setter
+    def limit(self, limit: int) -> None:
+        self._limit = limit
+        self._grant_waiters()
+
+    def has_room(self, size: int, holder: object) -> bool:
+        """Whether `holder` would get `size` bytes without waiting."""
+        return not self._waiters and self._fits(size, holder)
+
+    async def acquire(self, size: int, holder: object) -> None:
+        """Reserves `size` bytes, waiting until they fit the limit or no other holder exceeds it.
+
+        One holder may exceed the limit: otherwise several with a part each could all wait forever. The wait
+        has no limit of its own: the caller has to end it in time.
+        """
+        if self.has_room(size, holder):
+            self._reserve(size, holder)
+            return
+        waiter = _Waiter(size, holder, anyio.Event())
+        self._waiters.append(waiter)
+        try:
+            await waiter.granted.wait()
+        except BaseException:
+            if waiter.granted.is_set():
+                self.release(size, holder)
+            else:
+                self._waiters.remove(waiter)
+            raise
+
+    def release(self, size: int, holder: object = None) -> None:
+        """Returns `size` bytes, and the holder's right to exceed the limit."""
+        if self.overdraft_holder is holder:
+            self.overdraft_holder = None
+        self.used -= size
+        self._grant_waiters()
+
+    def _fits(self, size: int, holder: object) -> bool:
+        return self.used + size <= self._limit or self.overdraft_holder in (None, holder)
+
+    def _reserve(self, size: int, holder: object) -> None:
+        if self.used + size > self._limit:
+            self.overdraft_holder = holder
+        self.used += size
+
+    def _grant_waiters(self) -> None:
+        while self._waiters and self._fits(self._waiters[0].size, self._waiters[0].holder):
+            waiter = self._waiters.popleft()
+            self._reserve(waiter.size, waiter.holder)
+            waiter.granted.set()
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -12,7 +12,8 @@
 from anyio.abc import SocketStream
 
 from thornladder.node import streams
-from thornladder.node.clients.connection import ClientConnection, ServerState
+from thornladder.node.clients.connection import ClientConnection
+from thornladder.node.clients.server_state import ServerState
 from thornladder.node.shutdown import ShutdownSchedule
 from thornladder.node.tasks import Tasks
 
--- a/thornladder/node/clients/upload.py
+++ b/thornladder/node/clients/upload.py
@@ -10,8 +10,8 @@
 from anyio.abc import SocketStream
 
 from thornladder.node import streams
+from thornladder.node.body_budget import BodyBudget
 from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe
-from thornladder.node.streams import BodyBudget
 
 
 class Upload:
--- a/thornladder/node/companion.py
+++ b/thornladder/node/companion.py
@@ -10,8 +10,8 @@
 from typing import Any, NamedTuple, Protocol
 
 from thornladder.node.admin.calls import AdminRequest, AdminResponse
-from thornladder.node.clients.connection import InvocationHandler
 from thornladder.node.clients.early import ShedPolicy
+from thornladder.node.clients.server_state import InvocationHandler
 from thornladder.node.tasks import Tasks
 from thornladder.settings import Address
 
--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -12,9 +12,10 @@
 from anyio.abc import SocketStream
 
 from thornladder.node import streams
+from thornladder.node.body_budget import BodyBudget
 from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe, limit_kernel_buffers
 from thornladder.node.messages import MAX_BUFFERED_BYTES, UpstreamRequest, UpstreamResponse
-from thornladder.node.streams import STREAM_CLOSED_ERRORS, BodyBudget, has_unread_data
+from thornladder.node.streams import STREAM_CLOSED_ERRORS, has_unread_data
 from thornladder.settings import Address
 
 
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -15,8 +15,9 @@
 from thornladder.node.admin.server import AdminServer
 from thornladder.node.backends.pool import Pool
 from thornladder.node.backends.pushes import PushDispatcher
-from thornladder.node.clients.connection import ServerState
+from thornladder.node.body_budget import BodyBudget
 from thornladder.node.clients.front import Front
+from thornladder.node.clients.server_state import ServerState
 from thornladder.node.companion import NodeContext, NodeExtension
 from thornladder.node.discovery.watch import Watch
 from thornladder.node.handover import (
@@ -32,7 +33,6 @@
 from thornladder.node.maintenance import Maintenance
 from thornladder.node.messages import DiscoveryResponse
 from thornladder.node.operations import Operations
-from thornladder.node.streams import BodyBudget
 from thornladder.node.tasks import Tasks
 from thornladder.node.termination import Termination, handle_signals
 from thornladder.settings import Config
--- a/thornladder/rig/flawed.py
+++ b/thornladder/rig/flawed.py
@@ -21,8 +21,8 @@
 
 import anyio
 
-from thornladder.node.clients.connection import InvocationHandler
 from thornladder.node.clients.early import ShedPolicy
+from thornladder.node.clients.server_state import InvocationHandler
 from thornladder.node.companion import ExtensionEndpoint, NodeContext
 from thornladder.node.exchange import Exchange
 from thornladder.node.messages import ClientResponse, FinalOutcome
--- a/thornladder/rig/told.py
+++ b/thornladder/rig/told.py
@@ -23,12 +23,12 @@
 from thornladder.node import messages
 from thornladder.node.backends.pool import Pool
 from thornladder.node.backends.pushes import PushDispatcher
+from thornladder.node.body_budget import BodyBudget
 from thornladder.node.discovery.watch import Watch
 from thornladder.node.exchange import Exchange
 from thornladder.node.host import NodeHost
 from thornladder.node.http1 import Cause, Failure, Stage, UpstreamConnection
 from thornladder.node.messages import ClientResponse, FinalOutcome, UpstreamRequest
-from thornladder.node.streams import BodyBudget
 from thornladder.node.tasks import Tasks
 from thornladder.rig import moments
 from thornladder.rig.moments import MemoryStream, Peer
--- a/thornladder/rollout/counters.py
+++ b/thornladder/rollout/counters.py
@@ -20,8 +20,8 @@
 
 from thornladder.membership.wire import VERSION
 from thornladder.node.admin.calls import AdminRequest, AdminResponse
-from thornladder.node.clients.connection import InvocationHandler
 from thornladder.node.clients.early import ShedPolicy
+from thornladder.node.clients.server_state import InvocationHandler
 from thornladder.node.companion import ExtensionEndpoint, NodeContext
 from thornladder.node.exchange import Exchange
 from thornladder.node.messages import ClientResponse, FinalOutcome
