An answer that waits for room no longer makes its backend look hung

What callers saw: while slow readers held all room for bodies, 503 to every request, small ones too.

Cause: an answer over 64 KiB waits in ResponseReader.start_streaming for BodyBudget, and its push has no outcome meanwhile, so that eject_silent took backend after backend for hung.

Change: NodeHost.answer_held tells the module that the push has completed, as it is told where an answer begins to be passed on; the host goes on waiting for room for it, and ends the invocation with 502 when the push's time is up, as before. The decisions are unchanged. Not taken: a failure at once, which would run repeatable requests again at each backend for the same lack of room.

--- a/tests/test_upload_limits.py
+++ b/tests/test_upload_limits.py
@@ -284,6 +284,43 @@
         await wait_until(lambda: ObservedBudget.latest.used == 0)
 
 
+async def test_backends_whose_answers_find_no_room_are_not_ejected() -> None:
+    """Guards against backends that look silent, and refusals of all requests, since the node has no room."""
+
+    def answer(message: ReceivedMessage) -> bytes:
+        return reply(200, BODY if message.target == "/pay" else b"done")
+
+    async with LoopbackCluster(answer, answer) as cluster, anyio.create_task_group() as tasks:
+        taken = await ObservedBudget.latest.fill()
+        answers = []
+
+        async def ask(number: int) -> None:
+            answers.append(await cluster.ask(f"large{number}", "pay", 900, b"x"))
+
+        for number in range(12):
+            tasks.start_soon(ask, number)
+            await anyio.sleep(0.1)
+        assert [(await cluster.ask(f"small{n}", "look")).target for n in range(10)] == ["200"] * 10
+        assert not any("ejected" in line for line, _ in cluster.log.lines)
+        await wait_until(lambda: answers)
+        ObservedBudget.latest.release(taken, ObservedBudget.latest)
+        await wait_until(lambda: len(answers) == 12)
+        assert {message.target for message in answers} == {"200", "502"}
+        assert all(message.body == BODY for message in answers if message.target == "200")
+
+
+async def test_a_client_that_leaves_while_its_answer_has_no_room_ends_it() -> None:
+    """Guards against a connection to a backend that is kept for an answer that nobody waits for."""
+    async with LoopbackCluster(lambda _: reply(200, BODY)) as cluster:
+        await ObservedBudget.latest.fill()
+        client = await cluster.client()
+        await client.stream.send(encode_request("a", 60_000, b"x", False))
+        await wait_until(lambda: cluster.backends[0].received)
+        await anyio.sleep(0.05)
+        await client.stream.aclose()
+        await wait_until(lambda: cluster.backends[0].closed == 1, 0.5)
+
+
 async def test_an_answer_that_finds_no_room_ends_in_its_clients_time() -> None:
     """Guards against a wait for the body budget without a limit in the other direction."""
     async with LoopbackCluster(lambda _: reply(200, BODY)) as cluster:
--- a/thornladder/node/backends/pushes.py
+++ b/thornladder/node/backends/pushes.py
@@ -42,6 +42,10 @@
         """Push `number` of the exchange, begun at `started_at`, ended; `answer` only if it completed."""
         ...
 
+    def answer_held(self, exchange: Exchange, number: int, started_at: float) -> None:
+        """The backend has begun its answer to push `number`, and the node has no room yet to pass it on."""
+        ...
+
     def probe_ended(self, backend: str, outcome: Outcome, report: LoadReport) -> None:
         """The probe of `backend` ended; `report` is `NO_REPORT` unless a load report came with it."""
         ...
@@ -180,10 +184,14 @@
             if exchange.answer is None or exchange.answer.body_pipe is not response.body_pipe:
                 response.body_pipe.abort()  # no client waits for it
 
+        def on_held() -> None:
+            """Reports that the backend is not what the client waits for."""
+            self.listener.answer_held(exchange, number, started_at)
+
         try:
             time_left = exchange.time_budget if exchange.body_incoming else timeout
             result = await self._send(
-                backend, exchange.request, time_left, scope, on_streaming, exchange, send_by
+                backend, exchange.request, time_left, scope, on_streaming, exchange, send_by, on_held
             )
             result_outcome = outcome_of(result)
             answer = messages.completed_response(result) if result_outcome is Outcome.COMPLETED else None
@@ -217,7 +225,7 @@
     async def _send(
         self, backend: str, message: UpstreamRequest, time_left: float, scope: anyio.CancelScope,
         on_streaming: Callable[[UpstreamResponse], None] | None = None, exchange: Exchange | None = None,
-        send_by: float = math.inf,
+        send_by: float = math.inf, on_held: Callable[[], None] | None = None,
     ) -> UpstreamResponse | Failure:  # fmt: skip
         """Sends one request; for a push, `exchange` is the invocation that it serves.
 
@@ -248,7 +256,7 @@
                         messages.MAX_BODY_BYTES if on_streaming is not None else messages.MAX_BUFFERED_BYTES
                     )
                     result = await connection.round_trip(
-                        request, message, max_body_bytes, on_streaming, self.body_budget
+                        request, message, max_body_bytes, on_streaming, self.body_budget, on_held
                     )
         except Exception:
             # An unexpected error ends this push, which may have run, and not the node.
--- a/thornladder/node/exchange.py
+++ b/thornladder/node/exchange.py
@@ -15,7 +15,7 @@
 
     __slots__ = (
         "invocation", "request", "answer", "client_gone", "push_scopes", "pending_pushes", "unread_seconds",
-        "time_budget", "body_incoming", "received_at", "_deliver", "_client_closed",
+        "time_budget", "body_incoming", "answer_held", "received_at", "_deliver", "_client_closed",
     )  # fmt: skip
 
     def __init__(
@@ -39,6 +39,7 @@
         self.unread_seconds = unread_seconds
         self.time_budget = invocation.time_left  # seconds, counted from the last byte of the invocation
         self.body_incoming = request.body_pipe is not None  # the last byte of its body has not arrived
+        self.answer_held = False  # a backend's answer has begun, and the node has no room to pass it on
         self.received_at = 0.0  # clock time at which the host took it on
         self.pending_pushes = 0
         self._deliver, self._client_closed = deliver, client_closed
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -238,8 +238,9 @@
         if exchange.finished:
             return
         exchange.client_gone = True
-        if exchange.body_incoming:
-            exchange.cancel_pushes()  # the rest of the body will not come: ends the push in any case
+        if exchange.body_incoming or exchange.answer_held:
+            # The rest of the body will not come, or nobody waits for the answer: ends the push in any case.
+            exchange.cancel_pushes()
         self._dispatch_for(exchange, self.node.on_client_gone, exchange.invocation.id)
 
     def push_ended(
@@ -263,6 +264,18 @@
             exchange, self.node.on_push_ended, id, number, outcome, duration, exchange.finished
         )
 
+    def answer_held(self, exchange: Exchange, number: int, started_at: float) -> None:
+        """A backend's answer has begun and waits for room in this node.
+
+        For the module the push has completed: otherwise the backend would look silent and be ejected. The
+        client gets the answer once there is room, or a termination when the push's time is up.
+        """
+        exchange.answer_held = True
+        duration = self.clock() - started_at
+        self._dispatch(
+            self.node.on_push_ended, exchange.invocation.id, number, Outcome.COMPLETED, duration, True
+        )
+
     def probe_ended(self, backend: str, outcome: Outcome, report: LoadReport) -> None:
         """Tells the module how a probe ended; `report` is `NO_REPORT` if it brought none."""
         self._dispatch(self.node.on_probe_ended, backend, outcome, report)
--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -56,10 +56,11 @@
         max_body_bytes: int,
         on_streaming: Callable[[UpstreamResponse], None] | None,
         body_budget: BodyBudget | None,
+        on_held: Callable[[], None] | None,
     ) -> None:
         """`head_only`: the request is a HEAD. Without `on_streaming` every body is buffered."""
-        self.head_only, self.max_body_bytes, self.on_streaming, self.body_budget = (
-            head_only, max_body_bytes, on_streaming, body_budget
+        self.head_only, self.max_body_bytes, self.on_streaming, self.body_budget, self.on_held = (
+            head_only, max_body_bytes, on_streaming, body_budget, on_held
         )  # fmt: skip
         self.head: h11.Response | None = None
         self.declared_length: int | None = None  # by Content-Length, even where the body is chunked
@@ -134,6 +135,8 @@
     async def start_streaming(self, connection: UpstreamConnection) -> None:
         """Hands the response to its client, with what has arrived of the body; the rest follows."""
         if self.body_budget is not None:
+            if self.on_held is not None and not self.body_budget.has_room(BODY_PIPE_BYTES, connection):
+                self.on_held()
             await self.body_budget.acquire(BODY_PIPE_BYTES, connection)
             self.budget_acquired = True
         limit_kernel_buffers(connection.stream)
@@ -189,16 +192,19 @@
         max_body_bytes: int = MAX_BUFFERED_BYTES,
         on_streaming: Callable[[UpstreamResponse], None] | None = None,
         body_budget: BodyBudget | None = None,
+        on_held: Callable[[], None] | None = None,
     ) -> UpstreamResponse | Failure:  # fmt: skip
         """Sends one request and waits for its response, whose body has at most `max_body_bytes`.
 
         `on_streaming` is called when a large body starts with status 200; this then returns once the body has
-        been passed on. Streamed bodies are counted in `body_budget`. A caller that cancels this has to close
-        the connection.
+        been passed on. Streamed bodies are counted in `body_budget`; `on_held` is called if the response has
+        to wait for room there. A caller that cancels this has to close the connection.
         """
         self.stage, self.reusable = Stage.WRITING, False
         self.request_count += 1
-        self.response = ResponseReader(request.method == b"HEAD", max_body_bytes, on_streaming, body_budget)
+        self.response = ResponseReader(
+            request.method == b"HEAD", max_body_bytes, on_streaming, body_budget, on_held
+        )
         body = message.body if message is not None else b""
         try:
             if message is not None and message.body_pipe is not None:
