Soak: backends listen at addresses of their own, so that a port stays free while one is down

Cause: a backend that is down for a while gives up its port at 127.0.0.1, which is also the address of all outgoing connections; one of these had taken the port as its ephemeral one when the backend came back. Nodes had addresses of their own already, for that reason. Evidence: the new test binds an outgoing connection to the port of a backend that is down; with the old address it fails with Errno 98, with an address of its own it passes.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 from dataclasses import replace
 from pathlib import Path
 
+import anyio
 import pytest
+from harness import wait_until
 
+from thornladder.rig.soak.backend import FaultyBackend
 from thornladder.rig.soak.plan import Action, BackendMode, ModeChange, Shutdown, SoakPlan, Step, draw_plan
 from thornladder.rig.soak.play import NODE_COMMAND, Soak
 
@@ -55,3 +59,19 @@
     command = [sys.executable, "-B", "-c", NODE_WITHOUT_SCHEDULE] if planted else NODE_COMMAND
     records = await Soak(hanging_plan(), tmp_path, command).play()
     assert bool(records.violations()) is planted
+
+
+# Seed 9003 of the soak ended with "address in use": a connection had the port of a backend that was down.
+async def test_a_backend_gets_its_port_back_though_a_client_has_the_same_number(tmp_path: Path) -> None:
+    soak = Soak(draw_plan(3), tmp_path)
+    changes = (ModeChange(0.1, BackendMode.DEAD), ModeChange(0.2, BackendMode.ANSWER))
+    backend = FaultyBackend(0, changes, soak.records, soak, soak.host(0, 2))
+    peer = await anyio.create_tcp_listener(local_host="127.0.0.1", local_port=0)
+    async with anyio.create_task_group() as tasks, peer:
+        await tasks.start(backend.run)
+        await wait_until(lambda: backend.mode is BackendMode.DEAD)
+        address = ("127.0.0.1", peer.extra(anyio.abc.SocketAttribute.local_port))
+        with socket.create_connection(address, source_address=("127.0.0.1", backend.port)):
+            await wait_until(lambda: backend.mode is BackendMode.ANSWER)
+            async with await anyio.connect_tcp(backend.host, backend.port):
+                tasks.cancel_scope.cancel()
--- a/thornladder/rig/soak/backend.py
+++ b/thornladder/rig/soak/backend.py
@@ -20,9 +20,10 @@
     """A backend whose mode changes by the clock of the soak."""
 
     def __init__(
-        self, number: int, changes: tuple[ModeChange, ...], records: SoakRecords, clock: SoakClock
+        self, number: int, changes: tuple[ModeChange, ...], records: SoakRecords, clock: SoakClock, host: str
     ) -> None:
-        super().__init__()
+        """`host`: an address of its own, so that its port stays free for it while it is dead."""
+        super().__init__(host)
         self.number, self.changes, self.records, self.clock = number, changes, records, clock
         self.mode = BackendMode.ANSWER
 
--- a/thornladder/rig/soak/play.py
+++ b/thornladder/rig/soak/play.py
@@ -73,8 +73,7 @@
         self.rng = Random(f"{soak.plan.seed} node {number}")
         self.folder = soak.folder / f"node-{number}"
         self.folder.mkdir(parents=True)
-        # An address of its own, so that no client's ephemeral port is taken for the node's while it is down.
-        host = f"127.{100 + soak.plan.seed % 100}.{number}.1"
+        host = soak.host(number, 1)
         self.address = (host, free_port(host))
         self.longest_deadline = soak.plan.longest_deadline
         self.process: subprocess.Popen | None = None
@@ -222,6 +221,13 @@
         self.discovery = DiscoveryServer()
         self.records = SoakRecords(once_only=ONCE_ONLY, crowded=plan.crowd > 0)
 
+    def host(self, number: int, kind: int) -> str:
+        """An address that only one process listens at.
+
+        Outgoing connections have 127.0.0.1: none can take the port of a process that is down for a while.
+        """
+        return f"127.{100 + self.plan.seed % 100}.{number}.{kind}"
+
     def now(self) -> float:
         """Seconds since the start of the soak."""
         return time.monotonic() - self.started_at
@@ -236,9 +242,9 @@
             group.start_soon(self.lag.run)
             await group.start(self.discovery.serve)
             for number, changes in enumerate(self.plan.backends):
-                backend = FaultyBackend(number, changes, self.records, self)
+                backend = FaultyBackend(number, changes, self.records, self, self.host(number, 2))
                 await group.start(backend.run)
-                self.discovery.update(f"s{number}", backend.port, "x", 0.0)
+                self.discovery.update(f"s{number}", backend.port, "x", 0.0, host=backend.host)
             self.started_at = time.monotonic()
             async with anyio.create_task_group() as nodes:
                 for number, shutdowns in enumerate(self.plan.shutdowns):
--- a/thornladder/rig/standins.py
+++ b/thornladder/rig/standins.py
@@ -199,10 +199,12 @@
         return 200, [], f"{id} {offering}".encode()
 
 
-def instance_entry(id: str, port: int, zone: str, started_at: float, lifecycle: str) -> dict[str, Any]:
+def instance_entry(
+    id: str, port: int, zone: str, started_at: float, lifecycle: str, host: str = "127.0.0.1"
+) -> dict[str, Any]:
     """A backend's entry in discovery's list. `started_at`: Unix time in seconds."""
     return {
-        "instanceId": id, "hostPort": f"127.0.0.1:{port}", "zone": zone, "cell": 0, "weight": 1.0,
+        "instanceId": id, "hostPort": f"{host}:{port}", "zone": zone, "cell": 0, "weight": 1.0,
         "lifecycle": lifecycle, "startedAtMs": round(started_at * 1000), "machineType": "plain",
     }  # fmt: skip
 
@@ -217,10 +219,13 @@
         self.version = 1
         self.change_event = anyio.Event()  # replaced at each change
 
-    def update(self, id: str, port: int, zone: str, started_at: float, lifecycle: str = "in_service") -> None:
+    def update(
+        self, id: str, port: int, zone: str, started_at: float, lifecycle: str = "in_service",
+        host: str = "127.0.0.1",
+    ) -> None:  # fmt: skip
         """Adds or replaces an entry and wakes waiting requests. `started_at`: Unix time; 0 if long ago."""
         self.version += 1
-        self.entries[id] = instance_entry(id, port, zone, started_at, lifecycle)
+        self.entries[id] = instance_entry(id, port, zone, started_at, lifecycle, host)
         self.changes.append((self.version, id))
         self.change_event.set()
         self.change_event = anyio.Event()
