--- /dev/null
+++ b/tests/test_idle_close.py
@@ -0,0 +1,131 @@
+"""The node's own closes of client connections: none discards a request that has arrived."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import anyio
+import pytest
+from harness import LoopbackCluster, reply, wait_until
+from test_shutdown import request_bytes
+
+from thornladder.node.clients.connection import ClientConnection
+from thornladder.node.clients.front import Front
+from thornladder.rig.soak.client import ConnectionLost, RawConnection
+
+pytestmark = pytest.mark.anyio
+FAR_FUTURE_SECONDS = 60.0
+
+
+@pytest.fixture
+def fronts(monkeypatch: pytest.MonkeyPatch) -> list[Front]:
+    """The fronts of nodes in this process."""
+    created: list[Front] = []
+    original_init = Front.__init__
+
+    def record_init(front: Front, *args: Any, **kwargs: Any) -> None:
+        original_init(front, *args, **kwargs)
+        created.append(front)
+
+    monkeypatch.setattr(Front, "__init__", record_init)
+    return created
+
+
+@asynccontextmanager
+async def resting_client(
+    fronts: list[Front], asks: bool = True
+) -> AsyncIterator[tuple[Front, ClientConnection, RawConnection]]:
+    """A node with one client at rest, which has had an answer if it `asks`."""
+    async with LoopbackCluster(lambda _: reply(200)) as cluster:
+        client = await RawConnection.open(("127.0.0.1", cluster.port))
+        if asks:
+            await client.send(request_bytes("a0", "look", 0.9))
+            await client.receive()
+            assert client.buffer.startswith(b"HTTP/1.1 200")
+            client.buffer = b""
+        await wait_until(lambda: fronts[0].connections)
+        (connection,) = fronts[0].connections
+        await wait_until(lambda: connection.idle)
+        yield fronts[0], connection, client
+        client.close()
+
+
+def close_above_pool_target(front: Front, connection: ClientConnection, now: float) -> None:
+    front.client_pool_limit = 0
+    front._trim_client_pools(now)
+
+
+def close_in_standby(front: Front, connection: ClientConnection, now: float) -> None:
+    front.set_standby(True)
+    front._close_for_standby(now)
+
+
+def close_after_idle_timeout(front: Front, connection: ClientConnection, now: float) -> None:
+    connection.enforce_timeouts(now, 10.0)
+
+
+def close_near_limit(front: Front, connection: ClientConnection, now: float) -> None:
+    front._make_room()
+
+
+def close_in_drain(front: Front, connection: ClientConnection, now: float) -> None:
+    front._close_oldest_idle(len(front.connections))
+
+
+CLOSES = [
+    close_above_pool_target,
+    close_in_standby,
+    close_after_idle_timeout,
+    close_near_limit,
+    close_in_drain,
+]
+
+
+def close_by(close: Callable[..., None], front: Front, connection: ClientConnection) -> None:
+    close(front, connection, front.server_state.clock() + FAR_FUTURE_SECONDS)
+
+
+# Report 3f88f1: a close that was decided on reached the kernel some turns of the event loop later, and a
+# request that arrived in between was reset unread.
+@pytest.mark.parametrize("close", CLOSES)
+async def test_an_idle_close_takes_effect_in_the_step_that_looked(
+    close: Callable[..., None], fronts: list[Front]
+) -> None:
+    async with resting_client(fronts) as (front, connection, client):
+        close_by(close, front, connection)
+        assert client.ended()  # no turn of the event loop has passed
+        await client.send(request_bytes("a1", "look", 0.9))
+        with pytest.raises(ConnectionLost) as lost:
+            await client.receive()
+        assert lost.value.was_reset
+
+
+# The same for a client that has not sent anything yet.
+async def test_the_close_of_a_silent_connection_takes_effect_in_the_step_that_looked(
+    fronts: list[Front], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Front, "FIRST_BYTE_GRACE_SECONDS", -1.0)
+    async with resting_client(fronts, asks=False) as (front, _, client):
+        assert front._make_room()
+        assert client.ended()
+
+
+# Report 3f88f1: a request that has arrived, in the kernel or in the event loop, is answered.
+@pytest.mark.parametrize("close", CLOSES)
+@pytest.mark.parametrize("where", ["in the kernel", "in the event loop"])
+async def test_a_request_that_has_arrived_is_answered_at_an_idle_close(
+    where: str, close: Callable[..., None], fronts: list[Front]
+) -> None:
+    async with resting_client(fronts) as (front, connection, client):
+        data = request_bytes("a1", "look", 0.9)
+        if where == "in the kernel":
+            assert client.socket.send(data) == len(data)  # no turn of the event loop: the node cannot read it
+        else:
+            connection.stream._transport.get_protocol().data_received(data)
+        close_by(close, front, connection)
+        with anyio.fail_after(5.0):
+            while b"\r\n\r\n" not in client.buffer:
+                await client.receive()
+        assert client.buffer.startswith(b"HTTP/1.1 200")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,14 +6,25 @@
 import sys
 from dataclasses import replace
 from pathlib import Path
+from random import Random
 
 import anyio
 import pytest
 from harness import wait_until
 
 from thornladder.rig.soak.backend import FaultyBackend
-from thornladder.rig.soak.plan import Action, BackendMode, ModeChange, Shutdown, SoakPlan, Step, draw_plan
+from thornladder.rig.soak.plan import (
+    Action,
+    BackendMode,
+    Hold,
+    ModeChange,
+    Shutdown,
+    SoakPlan,
+    Step,
+    draw_plan,
+)
 from thornladder.rig.soak.play import NODE_COMMAND, Soak
+from thornladder.rig.soak.service_plan import draw_service_plan
 
 pytestmark = pytest.mark.anyio
 
@@ -40,6 +51,39 @@
     assert records.violations() == []
 
 
+def lone_node_plan(seed: int) -> SoakPlan:
+    """One node that has all clients, and gets no CPU for up to 0.15 s four times a second."""
+    rng = Random(seed)
+    holds = tuple(Hold(0, 0.25 * number, rng.uniform(0.05, 0.15)) for number in range(1, 20))
+    return replace(
+        draw_service_plan(seed),
+        shutdowns=((Shutdown(5.0, True, (Action(0.0, Step.TERMINATE),)),),),
+        backends=((ModeChange(0.0, BackendMode.ANSWER),),) * 6,
+        clients_per_node=0,
+        crowd=0,
+        descriptors=384,
+        resting_clients=140,
+        standbys=(),
+        holds=holds,
+    )
+
+
+# Report 3f88f1: a node that had all clients closed connections over requests that it had not read.
+@pytest.mark.parametrize("seed", [0, 1])
+async def test_a_node_that_has_all_clients_loses_no_request(seed: int, tmp_path: Path) -> None:
+    records = await Soak(lone_node_plan(seed), tmp_path).play()
+    assert records.requests and records.processes
+    assert records.violations() == []
+
+
+# Report 3f88f1, the same with restarts in series, standby in turn and a crowd.
+@pytest.mark.parametrize("seed", [8, 9, 10, 18])
+async def test_no_request_is_lost_at_a_node_in_service(seed: int, tmp_path: Path) -> None:
+    records = await Soak(draw_service_plan(seed), tmp_path).play()
+    assert records.requests and records.processes
+    assert records.violations() == []
+
+
 def hanging_plan() -> SoakPlan:
     """Two nodes that are told to end while every backend hangs."""
     hanging = (ModeChange(0.0, BackendMode.HANG),)
--- a/thornladder/measures/soak.py
+++ b/thornladder/measures/soak.py
@@ -23,6 +23,9 @@
 from thornladder.measures.points import Points
 from thornladder.rig.soak.plan import draw_plan
 from thornladder.rig.soak.play import Soak
+from thornladder.rig.soak.service_plan import draw_service_plan
+
+DRAW_PLAN = {"shutdown": draw_plan, "service": draw_service_plan}
 
 
 class SoakResult(NamedTuple):
@@ -35,10 +38,10 @@
     lag: float  # seconds by which the machine was late in all
 
 
-def play_seed(seed: int, folder: str = "") -> SoakResult:
-    """Plays one seed. With a `folder` the logs of the nodes are kept there."""
+def play_seed(seed: int, kind: str, folder: str = "") -> SoakResult:
+    """Plays one seed of a kind in `DRAW_PLAN`. With a `folder` the logs of the nodes are kept there."""
     with tempfile.TemporaryDirectory() as temporary:
-        soak = Soak(draw_plan(seed), Path(folder or temporary) / f"seed-{seed}")
+        soak = Soak(DRAW_PLAN[kind](seed), Path(folder or temporary) / f"seed-{seed}")
         records = anyio.run(soak.play, backend_options={"use_uvloop": True})
     return SoakResult(seed, records.violations(), records.counts(), len(records.processes), soak.lag.total)
 
@@ -48,13 +51,14 @@
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
     parser.add_argument("--seeds", type=int, default=50, help="how many seeds")
     parser.add_argument("--first", type=int, default=0, help="the first seed")
+    parser.add_argument("--kind", choices=sorted(DRAW_PLAN), default="shutdown", help="what is played")
     parser.add_argument("--jobs", type=int, default=3, help="how many seeds at a time")
     parser.add_argument("--logs", default="", help="folder in which the logs of the nodes are kept")
     options = parser.parse_args(arguments)
     seeds = range(options.first, options.first + options.seeds)
     points, totals, processes, broken, most_lag = Points("soak"), Counter[str](), 0, [], 0.0
     with ProcessPoolExecutor(options.jobs) as pool:
-        for result in pool.map(partial(play_seed, folder=options.logs), seeds):
+        for result in pool.map(partial(play_seed, kind=options.kind, folder=options.logs), seeds):
             totals.update(result.counts)
             processes += result.processes
             most_lag = max(most_lag, result.lag)
@@ -62,7 +66,7 @@
             print(f"seed {result.seed}: {result.counts}, lag {result.lag:.2f} s", file=sys.stderr, flush=True)
             for violation in result.violations:
                 print(f"seed {result.seed}: VIOLATION {violation}", file=sys.stderr, flush=True)
-    name = f"{seeds[0]}-{seeds[-1]}"
+    name = f"{options.kind} {seeds[0]}-{seeds[-1]}"
     points.record("requests", sum(totals.values()), name, ends=dict(sorted(totals.items())))
     points.record("shutdowns", processes, name)
     points.record("most seconds by which the machine was late in a seed", most_lag, name)
--- a/thornladder/rig/soak/backend.py
+++ b/thornladder/rig/soak/backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from random import Random
 
 import anyio
 import h11
@@ -20,10 +21,20 @@
     """A backend whose mode changes by the clock of the soak."""
 
     def __init__(
-        self, number: int, changes: tuple[ModeChange, ...], records: SoakRecords, clock: SoakClock, host: str
+        self,
+        number: int,
+        changes: tuple[ModeChange, ...],
+        records: SoakRecords,
+        clock: SoakClock,
+        host: str,
+        answer_seconds: tuple[float, float] = (0.0, 0.0),
     ) -> None:
-        """`host`: an address of its own, so that its port stays free for it while it is dead."""
+        """`host`: an address of its own, so that its port stays free for it while it is dead.
+
+        `answer_seconds`: shortest and longest time of a sound answer.
+        """
         super().__init__(host)
+        self.answer_seconds, self.rng = answer_seconds, Random(number)
         self.number, self.changes, self.records, self.clock = number, changes, records, clock
         self.mode = BackendMode.ANSWER
 
@@ -63,8 +74,9 @@
             raise ConnectionResetError
         if mode is BackendMode.ERROR:
             return 500, [], b""
-        if mode is BackendMode.SLOW:
-            await anyio.sleep(SLOW_SECONDS)
+        await anyio.sleep(
+            SLOW_SECONDS if mode is BackendMode.SLOW else self.rng.uniform(*self.answer_seconds)
+        )
         id = dict(head.headers).get(b"x-call-id", b"").decode()
         return 200, [], f"{id} {len(body)}".encode()
 
--- a/thornladder/rig/soak/client.py
+++ b/thornladder/rig/soak/client.py
@@ -5,6 +5,7 @@
 import asyncio
 import select
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -20,6 +21,7 @@
 CONNECT_SECONDS = 0.5
 # After the end of the answers, for the reset that shows that the node closed over unread bytes.
 RESET_WAIT_SECONDS = 1.0
+LEAVE_POLL_SECONDS = 0.005  # between looks of a client that is about to leave
 LARGE_BODY_BYTES = 200 * 1024
 UPLOAD_PIECES = 8
 
@@ -34,11 +36,11 @@
 
 
 class ConnectionLost(Exception):
-    """The node ended the connection; `was_reset`: with bytes of this client unread."""
+    """The node ended the connection `seconds_ago`; `was_reset`: with bytes of this client unread."""
 
-    def __init__(self, was_reset: bool) -> None:
+    def __init__(self, was_reset: bool, seconds_ago: float = 0.0) -> None:
         super().__init__("reset" if was_reset else "closed")
-        self.was_reset = was_reset
+        self.was_reset, self.seconds_ago = was_reset, seconds_ago
 
 
 class RawConnection:
@@ -74,7 +76,9 @@
         except OSError:
             raise ConnectionLost(True) from None
         if not data:
-            raise ConnectionLost(await self._reset_follows())
+            ended_at = time.monotonic()
+            was_reset = await self._reset_follows()
+            raise ConnectionLost(was_reset, time.monotonic() - ended_at)
         self.buffer += data
 
     async def _reset_follows(self) -> bool:
@@ -114,13 +118,39 @@
         ...
 
 
+# Returns the node for a new connection; None: no node takes one now.
+ChooseTarget = Callable[[], Target | None]
+
+
+def busy_pause(rng: Random) -> float:
+    """Seconds before the next request of a client that sends one after the other."""
+    return rng.choice((0.0, rng.uniform(0.0, 0.08), rng.uniform(0.0, 0.5)))
+
+
+def resting_pause(rng: Random) -> float:
+    """Seconds before the next request of a client that rests in between; now and then for long."""
+    return rng.uniform(2.0, 4.0) if rng.random() < 0.02 else rng.uniform(0.05, 0.7)
+
+
 class SoakClient:
-    """Sends requests to one node, one at a time, on whatever connection stays open."""
+    """Sends requests, one at a time, on whatever connection stays open."""
 
     def __init__(
-        self, name: str, target: Target, records: SoakRecords, rng: Random, clock: SoakClock
-    ) -> None:  # fmt: skip
-        self.name, self.target, self.records, self.rng, self.clock = name, target, records, rng, clock
+        self,
+        name: str,
+        choose_target: ChooseTarget,
+        records: SoakRecords,
+        rng: Random,
+        clock: SoakClock,
+        draw_pause: Callable[[Random], float] = busy_pause,
+        attentive_share: float = 0.5,
+    ) -> None:
+        """`attentive_share`: how often the client looks at its resting connection before it sends."""
+        self.name, self.choose_target, self.records, self.rng, self.clock = (
+            name, choose_target, records, rng, clock
+        )  # fmt: skip
+        self.draw_pause, self.attentive_share = draw_pause, attentive_share
+        self.target: Target  # of the present connection
         self.connection: RawConnection | None = None
         self.count = 0
 
@@ -128,27 +158,31 @@
         """Sends requests until `until` is true; answers that are owed then are still awaited."""
         try:
             while not until():
-                await anyio.sleep(
-                    self.rng.choice((0.0, self.rng.uniform(0.0, 0.08), self.rng.uniform(0.0, 0.5)))
-                )
+                await anyio.sleep(self.draw_pause(self.rng))
                 if await self._connect():
                     await self._request()
         finally:
             self._drop()
 
     async def _connect(self) -> bool:
-        # Half of the clients notice the end of a resting connection, the others find out by sending.
-        if self.connection is not None and self.rng.random() < 0.5 and self.connection.ended():
+        # The inattentive find out by sending that a resting connection has ended.
+        is_attentive = self.rng.random() < self.attentive_share
+        if self.connection is not None and is_attentive and self.connection.ended():
             self._drop()
-        if self.connection is None and not self.target.connectable():
-            await anyio.sleep(0.05)
-        elif self.connection is None:
-            try:
-                self.connection = await RawConnection.open(self.target.address)
-            except OSError:
-                await anyio.sleep(0.05)
+        if self.connection is None:
+            await self._open()
         return self.connection is not None
 
+    async def _open(self) -> None:
+        target = self.choose_target()
+        if target is None:
+            await anyio.sleep(0.05)
+            return
+        try:
+            self.connection, self.target = await RawConnection.open(target.address), target
+        except OSError:
+            await anyio.sleep(0.05)
+
     def _drop(self) -> None:
         if self.connection is not None:
             self.connection.close()
@@ -173,6 +207,7 @@
         except ConnectionLost as error:
             cut = bool(self.connection.buffer)
             record.end = End.CUT if cut else End.RESET if error.was_reset else End.CLOSED
+            record.ended_at = self.clock.now() - error.seconds_ago
         record.ended_at = record.ended_at or self.clock.now()
         record.lost_at_end = record.lost_at_end or self.clock.lost_seconds()
         if record.end is not End.ANSWERED:
@@ -217,14 +252,21 @@
             await anyio.sleep(self.rng.uniform(0.0, 1.2 / len(pieces)))
             if connection.ended():
                 raise BrokenPipeError
+        record.ended_before = connection.ended()
         await connection.send(pieces[-1])
         record.sent_at = self.clock.now()
         if self.rng.random() < 0.02:
-            await anyio.sleep(self.rng.uniform(0.0, offering.deadline))
-            if not connection.ended():
-                connection.close()
-                record.end, record.ended_at = End.LEFT, self.clock.now()
-                record.lost_at_end = self.clock.lost_seconds()
+            await self._leave(connection, record, self.rng.uniform(0.0, offering.deadline))
+
+    async def _leave(self, connection: RawConnection, record: RequestRecord, seconds: float) -> None:
+        """Closes the connection after some seconds, unless the node answers or ends it first."""
+        leave_at = self.clock.now() + seconds
+        while self.clock.now() < leave_at and not connection.ended():
+            await anyio.sleep(LEAVE_POLL_SECONDS)
+        if not connection.ended():
+            connection.close()
+            record.end, record.ended_at = End.LEFT, self.clock.now()
+            record.lost_at_end = self.clock.lost_seconds()
 
     def _pieces(self, data: bytes, large: bool) -> list[bytes]:
         if large:
--- a/thornladder/rig/soak/plan.py
+++ b/thornladder/rig/soak/plan.py
@@ -71,6 +71,24 @@
     mode: BackendMode
 
 
+@dataclass(frozen=True)
+class Standby:
+    """A time in which an operator has a node in standby; in seconds after all nodes are ready."""
+
+    node: int
+    at: float
+    seconds: float
+
+
+@dataclass(frozen=True)
+class Hold:
+    """A time in which a node in service gets no CPU; in seconds after all nodes are ready."""
+
+    node: int
+    at: float
+    seconds: float
+
+
 @dataclass(frozen=True)
 class SoakPlan:
     """Everything that a seed determines; what the processes make of it is not determined."""
@@ -83,6 +101,10 @@
     clients_per_node: int
     crowd: int  # connections to each node that send nothing
     descriptors: int  # limit of each node
+    resting_clients: int = 0  # of the whole fleet: they keep connections and rest between requests
+    standbys: tuple[Standby, ...] = ()
+    holds: tuple[Hold, ...] = ()
+    answer_seconds: tuple[float, float] = (0.0, 0.0)  # shortest and longest time of a sound answer
 
 
 # Pauses are drawn anew for each of these series.
--- a/thornladder/rig/soak/play.py
+++ b/thornladder/rig/soak/play.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import Sequence
 from contextlib import suppress
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -21,14 +22,16 @@
 
 from thornladder.children import signal_on_parent_exit
 from thornladder.rig.soak.backend import FaultyBackend
-from thornladder.rig.soak.client import Offering, RawConnection, SoakClient
+from thornladder.rig.soak.client import Offering, RawConnection, SoakClient, resting_pause
 from thornladder.rig.soak.clock import MachineLag
 from thornladder.rig.soak.plan import (
     KILL_SECONDS,
     MAX_DEADLINE_SECONDS,
     MAX_HOLD_SECONDS,
+    Hold,
     Shutdown,
     SoakPlan,
+    Standby,
     Step,
 )
 from thornladder.rig.soak.records import ProcessRecord, SoakRecords
@@ -37,6 +40,8 @@
 NODE_COMMAND = (sys.executable, "-B", "-m", "thornladder")
 FRONT_NOTICES_SECONDS = (0.2, 0.4)  # after SIGTERM, for which new connections go on coming
 READY_SECONDS = 30.0  # in which a node has to become ready
+STANDBY_NOTICED_SECONDS = 0.3  # after which the front sends no new connections to a node in standby
+ADMIN_SECONDS = 1.0  # for a call to the admin address
 # Share of each offering's deadline in the longest one.
 DEADLINE_SHARES = {"look": 1.0, "pay": 1.0, "book": 0.7}
 ONCE_ONLY = frozenset({"pay"})
@@ -75,9 +80,12 @@
         self.folder.mkdir(parents=True)
         host = soak.host(number, 1)
         self.address = (host, free_port(host))
+        self.admin_address = (host, free_port(host))
         self.longest_deadline = soak.plan.longest_deadline
         self.process: subprocess.Popen | None = None
-        self.connect_until = math.inf  # when the front notices the shutdown and sends no new connections
+        # When the front notices a standby or a shutdown, and sends no new connections.
+        self.connect_until = math.inf
+        self.in_service = False  # ready, and not told to end
         self.done = False
 
     @property
@@ -103,7 +111,7 @@
                 self._start()
                 if shutdown.await_readiness:
                     await self._wait_until_ready()
-                self.connect_until = math.inf
+                self.connect_until, self.in_service = math.inf, shutdown.await_readiness
                 await anyio.sleep(shutdown.serving_seconds)
                 await self._shut_down(shutdown)
         finally:
@@ -119,6 +127,8 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.soak.plan.descriptors},
             "settings": settings_with(self.longest_deadline), "known": self.soak.discovery.full_list(),
         }  # fmt: skip
+        if self.soak.plan.standbys:
+            document["admin_addr"] = f"{self.admin_address[0]}:{self.admin_address[1]}"
         path = self.folder / "config.json.new"
         path.write_text(json.dumps(document))
         path.replace(self.folder / "config.json")
@@ -141,6 +151,37 @@
             while b'"serving"' not in self.log_path.read_bytes():
                 await anyio.sleep(0.01)
 
+    async def stand_by(self, standby: Standby) -> None:
+        """Puts the process into standby for a while, unless it is to end first."""
+        await anyio.sleep(standby.at)
+        process = self.process
+        if not self.in_service or not await self._call("/standby"):
+            return
+        self.connect_until = self.soak.now() + self.rng.uniform(0.0, STANDBY_NOTICED_SECONDS)
+        await anyio.sleep(standby.seconds)
+        if await self._call("/active") and process is self.process and self.in_service:
+            self.connect_until = math.inf
+
+    async def _call(self, path: str) -> bool:
+        """Makes an operator's call; returns whether it was carried out."""
+        request = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n".encode()
+        try:
+            with anyio.fail_after(ADMIN_SECONDS):
+                async with await anyio.connect_tcp(*self.admin_address) as stream:
+                    await stream.send(request)
+                    return (await stream.receive()).startswith(b"HTTP/1.1 200")
+        except (OSError, anyio.EndOfStream, anyio.BrokenResourceError):
+            return False
+
+    async def hold(self, hold: Hold) -> None:
+        """Keeps the process from its CPU for a while."""
+        await anyio.sleep(hold.at)
+        process = self.process
+        if process is not None and self.in_service:
+            process.send_signal(signal.SIGSTOP)
+            await anyio.sleep(hold.seconds)
+            process.send_signal(signal.SIGCONT)
+
     async def _shut_down(self, shutdown: Shutdown) -> None:
         assert self.process is not None
         signalled_at = kill_after = lag_before = 0.0
@@ -153,6 +194,7 @@
                 signalled_at, lag_before = self.soak.now(), self.soak.lost_seconds()
                 kill_after = min(self.longest_deadline, MAX_DEADLINE_SECONDS) + KILL_SECONDS
                 started_serving = b'"serving"' in self.log_path.read_bytes()
+                self.in_service = False
                 self.connect_until = signalled_at + self.rng.uniform(*FRONT_NOTICES_SECONDS)
             await self._take(action.step)
         killed = not await self._wait_for_exit(signalled_at + kill_after, lag_before)
@@ -220,6 +262,7 @@
         self.lag = MachineLag()
         self.discovery = DiscoveryServer()
         self.records = SoakRecords(once_only=ONCE_ONLY, crowded=plan.crowd > 0)
+        self.nodes: list[SoakNode] = []
 
     def host(self, number: int, kind: int) -> str:
         """An address that only one process listens at.
@@ -242,13 +285,16 @@
             group.start_soon(self.lag.run)
             await group.start(self.discovery.serve)
             for number, changes in enumerate(self.plan.backends):
-                backend = FaultyBackend(number, changes, self.records, self, self.host(number, 2))
+                host = self.host(number, 2)
+                backend = FaultyBackend(number, changes, self.records, self, host, self.plan.answer_seconds)
                 await group.start(backend.run)
                 self.discovery.update(f"s{number}", backend.port, "x", 0.0, host=backend.host)
             self.started_at = time.monotonic()
-            async with anyio.create_task_group() as nodes:
+            async with anyio.create_task_group() as tasks:
                 for number, shutdowns in enumerate(self.plan.shutdowns):
-                    self._start_node(nodes, SoakNode(self, number, shutdowns))
+                    self.nodes.append(SoakNode(self, number, shutdowns))
+                    self._start_node(tasks, self.nodes[-1])
+                tasks.start_soon(self._run_service, tasks)
             group.cancel_scope.cancel()
         return self.records
 
@@ -257,11 +303,30 @@
         for number in range(self.plan.clients_per_node):
             name = f"n{node.number}c{number}"
             rng = Random(f"{self.plan.seed} {name}")
-            client = SoakClient(name, node, self.records, rng, self)
+            client = SoakClient(name, lambda: node if node.connectable() else None, self.records, rng, self)
             group.start_soon(client.run, lambda: node.done)
         if self.plan.crowd:
             group.start_soon(self._run_crowd, node)
 
+    async def _run_service(self, tasks: anyio.abc.TaskGroup) -> None:
+        """Starts what concerns the whole fleet, once all nodes are ready."""
+        while not all(node.in_service or node.done for node in self.nodes):
+            await anyio.sleep(0.01)
+        for number in range(self.plan.resting_clients):
+            rng = Random(f"{self.plan.seed} resting {number}")
+            choose_node = partial(self._choose_node, rng)
+            client = SoakClient(f"r{number}", choose_node, self.records, rng, self, resting_pause, 1.0)
+            tasks.start_soon(client.run, lambda: all(node.done for node in self.nodes))
+        for standby in self.plan.standbys:
+            tasks.start_soon(self.nodes[standby.node].stand_by, standby)
+        for hold in self.plan.holds:
+            tasks.start_soon(self.nodes[hold.node].hold, hold)
+
+    def _choose_node(self, rng: Random) -> SoakNode | None:
+        """Deals out connections as the platform's front does, over the nodes that it takes for ready."""
+        ready = [node for node in self.nodes if node.connectable() and node.process is not None]
+        return rng.choice(ready) if ready else None
+
     async def _run_crowd(self, node: SoakNode) -> None:
         """Keeps connections open on which nothing is sent, and opens new ones for those that end."""
         crowd: list[RawConnection] = []
--- a/thornladder/rig/soak/records.py
+++ b/thornladder/rig/soak/records.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import signal
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
 ANSWER_GRACE_SECONDS = 0.5  # after a client's deadline; a later answer counts as none
 LEFT_GRACE_SECONDS = 0.1  # after a client has left, in which an attempt may still begin
+# After the last byte of a request, in which the end of its connection may have crossed it.
+CROSSING_SECONDS = 0.05
 
 
 class End(Enum):
@@ -32,6 +35,7 @@
     deadline: float  # seconds from `sent_at`
     reused: bool  # whether the connection had carried a request before
     sent_at: float = 0.0  # of the last byte; 0 if it was answered or ended before that was sent
+    ended_before: bool = False  # whether the end of the connection had arrived before the last byte was sent
     ended_at: float = 0.0
     end: End = End.UNSENT
     status: int = 0
@@ -40,6 +44,16 @@
     lost_before: float = 0.0
     lost_at_end: float = 0.0
 
+    @property
+    def unanswered_seconds(self) -> float:
+        """From the last byte to the end of the connection, less what the machine was late meanwhile."""
+        return self.ended_at - self.sent_at - (self.lost_at_end - self.lost_before)
+
+    @property
+    def crossed(self) -> bool:
+        """Whether the node ended the connection just before this request arrived, and left it unread."""
+        return self.end is End.RESET and self.unanswered_seconds <= CROSSING_SECONDS
+
 
 @dataclass
 class Attempt:
@@ -115,9 +129,12 @@
             )
         if request.end is End.UNSENT:
             return None
-        if request.end is End.RESET and not attempts and (request.reused or self.crowded):
+        if request.crossed and not attempts and (request.reused or self.crowded):
             return None  # the client sends it again on another connection
-        return f"{where}: {request.end.value} without a whole answer, {len(attempts)} attempts"
+        return (
+            f"{where}: {request.end.value} without a whole answer after {request.unanswered_seconds:.3f} s, "
+            f"{len(attempts)} attempts"
+        )
 
     def _check_process(self, process: ProcessRecord) -> str | None:
         where = f"node {process.node}, signalled {process.signalled_at:.3f}"
@@ -132,9 +149,13 @@
         return None
 
     def counts(self) -> dict[str, int]:
-        """Requests by how they ended, with the status of those answered."""
-        counts: dict[str, int] = {}
-        for request in self.requests:
-            key = str(request.status) if request.end is End.ANSWERED else request.end.value
-            counts[key] = counts.get(key, 0) + 1
-        return dict(sorted(counts.items()))
+        """Requests by how they ended, with the status of those answered.
+
+        "crossed" are those reset within `CROSSING_SECONDS` on a connection that was open when they were sent.
+        """
+        return dict(sorted(Counter(self._kind_of_end(request) for request in self.requests).items()))
+
+    def _kind_of_end(self, request: RequestRecord) -> str:
+        if request.end is End.ANSWERED:
+            return str(request.status)
+        return "crossed" if request.crossed and not request.ended_before else request.end.value
