The kernel's queue of new connections keeps its length near the limit of connections

Callers saw: clients that connected at the same time to a node near its limit found no way in (connect timed out), or held a connection that the kernel had half made and whose request it dropped until it was sent again.

Cause: above nine tenths of the limit the listening socket's backlog was cut to 1, so the queue held two; further SYNs were dropped, and a third ACK that met a full queue left a client that took itself for connected. At a shutdown such a connection is reset with the socket, over 200 ms after the request.

Why this works: what there is no room for waits in the queue, in order, and room is made while idle connections are there.

--- /dev/null
+++ b/tests/test_accept_queue.py
@@ -0,0 +1,61 @@
+"""Connections that the kernel has accepted and the node has not: their requests are answered all the same."""
+
+from __future__ import annotations
+
+import copy
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import Process
+from harness import SETTINGS, Client, FakeServer, reply
+from test_process import connect, running_node
+
+pytestmark = pytest.mark.anyio
+DESCRIPTORS = 40  # of a node that holds at most MAX_CLIENTS connections of clients
+MAX_CLIENTS = 10
+HALF_HEAD = b"GET /look HTTP/1.1\r\nHost: a\r\nX-Ca"
+DEADLINE_SECONDS = 2.0
+# After a request's time, in which a final answer still counts.
+ANSWER_GRACE_SECONDS = 0.5
+
+
+@asynccontextmanager
+async def node_with_busy_connections(
+    folder: Path, descriptors: int = DESCRIPTORS, count: int = MAX_CLIENTS
+) -> AsyncIterator[tuple[Process, int]]:
+    """A node with `count` connections, each with half a request; by default all that it may have."""
+    settings: dict[str, Any] = copy.deepcopy(SETTINGS)
+    for offering in settings["Classes"]:
+        offering["HardLimit"] = round(DEADLINE_SECONDS * 1e6)
+    backend = FakeServer(lambda _: reply(200))
+    async with running_node(folder, backend, info=settings, sockets=descriptors) as (process, port):
+        busy: list[Client] = []
+        for number in range(count):
+            busy.append(await connect(port))
+            assert (await busy[-1].ask(f"busy{number}", "look")).target == "200"
+            await busy[-1].stream.send(HALF_HEAD)
+        yield process, port
+
+
+async def connect_and_send(port: int, id: str, budget: int = round(DEADLINE_SECONDS * 1000)) -> Client:
+    client = await connect(port)
+    await client.send(id, "look", budget)
+    return client
+
+
+# Found by the operators: near the limit the queue in the kernel was cut to one connection. Of clients that
+# connected at the same time some found no way in, and tried again only after a second.
+async def test_clients_that_connect_at_once_near_the_limit_are_queued(tmp_path: Path) -> None:
+    async with node_with_busy_connections(tmp_path, descriptors=74, count=28) as (process, port):
+        process.send_signal(signal.SIGSTOP)
+        clients = []
+        for number in range(12):
+            with anyio.fail_after(0.5):
+                clients.append(await connect_and_send(port, f"queued{number}", 900))
+        process.send_signal(signal.SIGCONT)
+        assert {(await client.answer()).target for client in clients} <= {"200", "503"}
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -31,7 +31,7 @@
 
 
 @asynccontextmanager
-async def running_node(folder: Path, *backends: FakeServer, info: dict | None = None):
+async def running_node(folder: Path, *backends: FakeServer, info: dict | None = None, sockets: int = 1024):
     """Runs a node with these backends in its own process; yields the process and the node's port."""
     discovery = FakeServer(lambda got: list_reply(1) if got.target.endswith("=0") else None)
     async with anyio.create_task_group() as tasks:
@@ -39,7 +39,7 @@
             await tasks.start(peer.serve)
         instances = [list_line(number, peer.port) for number, peer in enumerate(backends)]
         path = folder / "config.json"
-        path.write_text(json.dumps(config(instances, discovery.port, info=info)))
+        path.write_text(json.dumps(config(instances, discovery.port, sockets, info=info)))
         environment = {**os.environ, "TMPDIR": str(path.parent), "EDGE_CONFIG": str(path)}
         process = await anyio.open_process(NODE_COMMAND, env=environment, stderr=subprocess.PIPE)
         try:
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -27,7 +27,7 @@
     SETTLE_SECONDS = 0.1  # for the first bytes on the connections accepted last, and for the last answers
     DELIVERY_SECONDS = 0.05  # left for the last answers where the time of the shutdown is up
     DRAIN_POLL_SECONDS = 0.02  # between looks at what is still open
-    # Share of the connection limit from which idle connections are closed and the backlog is cut.
+    # Share of the connection limit from which idle connections are closed.
     NEAR_LIMIT_SHARE = 0.9
     BACKLOG = 1024  # connections that the kernel may queue before this node accepts them
     IDLE_TIMEOUT_SECONDS = 10.0  # lets clients with occasional requests reuse their connections
@@ -68,7 +68,6 @@
         )
         self.connections: set[ClientConnection] = set()
         self.connection_count = 0  # `connections`, and accepted sockets not yet among them
-        self.near_limit = False  # whether the backlog is cut
         self.is_open = False  # whether new connections are accepted
         self.accepting = False  # whether `run` accepts connections, or those that are still queued
         self.accept_scope: anyio.CancelScope | None = None  # None until `run` is called
@@ -83,7 +82,7 @@
         self.accepting, self.is_open = True, not self.server_state.draining
         with anyio.CancelScope(deadline=self.accept_deadline) as self.accept_scope:
             while True:
-                await self._wait_for_room(listener)
+                await self._wait_for_room()
                 await anyio.wait_readable(listener)
                 await self._accept_queued(listener)
         if not self.listener_is_shared:
@@ -94,24 +93,19 @@
         self.accepting = False
         self.server_state.log.info("stopped accepting")
 
-    async def _wait_for_room(self, listener: socket.socket) -> None:
+    async def _wait_for_room(self) -> None:
         """Waits until another connection may be accepted; closes silent or idle ones near the limit."""
         while self.connection_count > self.NEAR_LIMIT_SHARE * self.max_connections and self._make_room():
             await anyio.sleep(0.002)
         while self.connection_count >= self.max_connections:
             await anyio.sleep(0.02)
             self._make_room()
-        near_limit = self.connection_count > self.NEAR_LIMIT_SHARE * self.max_connections
-        if near_limit != self.near_limit and not self.listener_is_shared:
-            # A queued connection counts as accepted for its client: queue none that there is no room for.
-            self.near_limit = near_limit
-            listener.listen(1 if near_limit else self.BACKLOG)
 
     async def _accept_until_quiet(self, listener: socket.socket) -> None:
         """Accepts connections until none has come for ACCEPT_QUIET_SECONDS."""
         quiet = False
         while not quiet:
-            await self._wait_for_room(listener)
+            await self._wait_for_room()
             with anyio.move_on_after(self.ACCEPT_QUIET_SECONDS) as quiet_scope:
                 await anyio.wait_readable(listener)
             # A process that got no CPU sees its timers before its sockets: the queue says what has come.
