A shutdown empties the queue of new connections before it closes the listening socket

Cause: at the end of Front.run, _accept_queued returned False because all connections were taken, its answer was not looked at, and listener.close() reset all that the machine had accepted and the node had not.

Why this works: the socket is closed only once its queue is empty. While the node drains, a request beyond the limit is accepted on one of eight spare descriptors and refused at once; what is still queued when every request has to have its answer is refused without needing any room, and logged.

--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -4,6 +4,7 @@
 
 import copy
 import signal
+import socket
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -12,9 +13,14 @@
 import anyio
 import pytest
 from anyio.abc import Process
-from harness import SETTINGS, Client, FakeServer, reply
+from harness import OFFERINGS, SETTINGS, Client, FakeServer, RecordingLog, reply
 from test_process import connect, running_node
 
+from thornladder.node.body_budget import BodyBudget
+from thornladder.node.clients.front import Front
+from thornladder.node.clients.server_state import ServerState
+from thornladder.node.shutdown import ShutdownSchedule
+
 pytestmark = pytest.mark.anyio
 DESCRIPTORS = 40  # of a node that holds at most MAX_CLIENTS connections of clients
 MAX_CLIENTS = 10
@@ -48,6 +54,36 @@
     return client
 
 
+# Found by the operators: at the end of accepting the listening socket was closed over its queue, and all that
+# the machine had accepted beyond the limit of connections was reset.
+async def test_requests_queued_beyond_the_limit_at_a_shutdown_are_answered(tmp_path: Path) -> None:
+    async with node_with_busy_connections(tmp_path) as (process, port):
+        process.send_signal(signal.SIGTERM)
+        queued = [await connect_and_send(port, f"queued{number}") for number in range(30)]
+        answers = [await client.answer() for client in queued]
+        assert {answer.target for answer in answers} <= {"200", "502", "503"}
+        assert await process.wait() == 0
+
+
+# The same where no room was made until every request has to have its answer.
+async def test_requests_still_queued_when_the_time_of_a_shutdown_is_up_are_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(Front, "MAX_EXTRA_CONNECTIONS", 0)
+    log, now = RecordingLog(), 100.0
+    state = ServerState(
+        None, {"look": OFFERINGS[0]}, lambda: now, BodyBudget(2**20), lambda: False, lambda *_: None, log
+    )
+    state.shutdown = ShutdownSchedule(now - DEADLINE_SECONDS, 1.0)
+    front = Front(state, 0, None)
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(False)
+        clients = [await connect_and_send(listener.getsockname()[1], f"a{number}") for number in range(3)]
+        await front._empty_queue(listener)
+        assert [(await client.answer()).target for client in clients] == ["503"] * 3
+    assert log.find("refusing the connections still queued") is not None
+
+
 # Found by the operators: near the limit the queue in the kernel was cut to one connection. Of clients that
 # connected at the same time some found no way in, and tried again only after a second.
 async def test_clients_that_connect_at_once_near_the_limit_are_queued(tmp_path: Path) -> None:
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -11,7 +11,7 @@
 import anyio
 from anyio.abc import SocketStream
 
-from thornladder.node import streams
+from thornladder.node import messages, streams
 from thornladder.node.clients.closures import CloseReason
 from thornladder.node.clients.connection import ClientConnection
 from thornladder.node.clients.server_state import ServerState
@@ -34,6 +34,9 @@
     BUSY_IDLE_TIMEOUT_SECONDS = (
         2.0  # while over half of the limit is in use; clients cope with a close by then
     )
+    # Accepted beyond the limit, where a request is refused at once: without it, requests would wait unread in
+    # the kernel's queue for as long as all connections are busy. They use spare descriptors.
+    MAX_EXTRA_CONNECTIONS = 8
     FIRST_READ_BYTES = 65536  # as much as later reads take at once
     # In standby, connections idle for this long are closed once standby has lasted as long ...
     STANDBY_IDLE_SECONDS = 0.6
@@ -88,19 +91,40 @@
         if not self.listener_is_shared:
             with anyio.move_on_after(self.EMPTY_QUEUE_SECONDS):
                 await self._accept_until_quiet(listener)
-            await self._accept_queued(listener)
+            await self._empty_queue(listener)
         listener.close()
         self.accepting = False
         self.server_state.log.info("stopped accepting")
 
+    async def _empty_queue(self, listener: socket.socket) -> None:
+        """Accepts what is still queued: closing the socket over it would reset requests that were taken.
+
+        Waits for room, until every request has to have its answer; then what is left is refused.
+        """
+        schedule = self.server_state.shutdown
+        assert schedule is not None  # `run` gets here once the node drains
+        while not await self._accept_queued(listener):
+            if self.server_state.clock() >= schedule.answer_by:
+                self.server_state.log.warning("refusing the connections still queued")
+                await self._accept_queued(listener, refuse_all=True)
+                return
+            self._make_room()
+            await anyio.sleep(self.DRAIN_POLL_SECONDS)
+
     async def _wait_for_room(self) -> None:
         """Waits until another connection may be accepted; closes silent or idle ones near the limit."""
         while self.connection_count > self.NEAR_LIMIT_SHARE * self.max_connections and self._make_room():
             await anyio.sleep(0.002)
-        while self.connection_count >= self.max_connections:
+        while not self._may_accept:
             await anyio.sleep(0.02)
             self._make_room()
 
+    @property
+    def _may_accept(self) -> bool:
+        """Whether another connection may be accepted, if only to refuse its request."""
+        extra = self.MAX_EXTRA_CONNECTIONS if self.server_state.draining else 0
+        return self.connection_count < self.max_connections + extra
+
     async def _accept_until_quiet(self, listener: socket.socket) -> None:
         """Accepts connections until none has come for ACCEPT_QUIET_SECONDS."""
         quiet = False
@@ -113,9 +137,12 @@
             queue_empty = await self._accept_queued(listener)
             quiet = quiet_scope.cancelled_caught and queue_empty and self.connection_count == count
 
-    async def _accept_queued(self, listener: socket.socket) -> bool:
-        """Accepts what the kernel has queued, as far as there is room; returns whether the queue is empty."""
-        while self.connection_count < self.max_connections:
+    async def _accept_queued(self, listener: socket.socket, refuse_all: bool = False) -> bool:
+        """Accepts what the kernel has queued, as far as there is room; returns whether the queue is empty.
+
+        With `refuse_all` nothing needs room: requests are refused, and connections without one are closed.
+        """
+        while refuse_all or self._may_accept:
             try:
                 client_socket, _ = listener.accept()
             except BlockingIOError:
@@ -126,9 +153,19 @@
                 self.server_state.log.warning("a connection could not be accepted", error=repr(error))
                 await anyio.sleep(0.05)
                 return False
-            self._take_connection(client_socket)
+            if refuse_all:
+                self._refuse_connection(client_socket)
+            else:
+                self._take_connection(client_socket)
         return False
 
+    def _refuse_connection(self, client_socket: socket.socket) -> None:
+        """Refuses the request of a new connection, if any of it has arrived, and closes the connection."""
+        if self._read_initial(client_socket):
+            with suppress(OSError):
+                client_socket.send(messages.encode_nack(0.0, True))
+        client_socket.close()
+
     def _take_connection(self, client_socket: socket.socket) -> None:
         """Serves an accepted connection in a task of its own, or refuses its request at once."""
         initial_data = self._read_initial(client_socket)
@@ -137,7 +174,7 @@
             return
         is_lagging = bool(initial_data) and self.server_state.is_lagging()
         unread_seconds = streams.seconds_since_last_data(client_socket) if is_lagging else 0.0
-        if is_lagging and (nack := self.server_state.early_shedder.nack(initial_data, unread_seconds, True)):
+        if nack := self._early_nack(initial_data, is_lagging, unread_seconds):
             with suppress(OSError):
                 client_socket.send(nack)  # fits the empty send buffer of a new connection
             client_socket.close()
@@ -145,6 +182,14 @@
         self.connection_count += 1
         self.tasks.start("a client's connection", self._serve, client_socket, initial_data, unread_seconds)
 
+    def _early_nack(self, initial_data: bytes, is_lagging: bool, unread_seconds: float) -> bytes | None:
+        """The encoded nack for a new connection's request, if it is refused without being served."""
+        if self.connection_count >= self.max_connections:
+            return self.server_state.early_shedder.refuse(initial_data, True)
+        if is_lagging:
+            return self.server_state.early_shedder.nack(initial_data, unread_seconds, True)
+        return None
+
     def _read_initial(self, client_socket: socket.socket) -> bytes | None:
         """Returns the bytes already received; None if the client has disconnected.
 
