A request that finds all connections of a node busy is refused at once

Callers saw: a request on a new connection got no answer for as long as all connections that clients may hold were busy (slow requests, half requests), whatever its time.

Evidence: test_a_request_queued_beyond_the_limit_is_answered_in_its_time: ten connections with half a request, five clients with 0.3 s; before, no answer within 0.8 s; now 503 at once.

Why this works: where no idle or silent connection can make room, a connection is accepted on one of eight spare descriptors, its request is refused (nothing of it has run) and the connection closed. While idle connections are there the queue waits for the room that they make, as before, so that a crowd of silent connections costs usual clients no refusals.

--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -84,6 +84,15 @@
     assert log.find("refusing the connections still queued") is not None
 
 
+# Found by reading: a request waited in the kernel's queue for as long as all connections were busy.
+async def test_a_request_queued_beyond_the_limit_is_answered_in_its_time(tmp_path: Path) -> None:
+    async with node_with_busy_connections(tmp_path) as (_, port):
+        with anyio.fail_after(0.3 + ANSWER_GRACE_SECONDS):
+            queued = [await connect_and_send(port, f"queued{number}", 300) for number in range(5)]
+            answers = [await client.answer() for client in queued]
+        assert {answer.target for answer in answers} <= {"200", "503"}
+
+
 # Found by the operators: near the limit the queue in the kernel was cut to one connection. Of clients that
 # connected at the same time some found no way in, and tried again only after a second.
 async def test_clients_that_connect_at_once_near_the_limit_are_queued(tmp_path: Path) -> None:
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -121,9 +121,18 @@
 
     @property
     def _may_accept(self) -> bool:
-        """Whether another connection may be accepted, if only to refuse its request."""
-        extra = self.MAX_EXTRA_CONNECTIONS if self.server_state.draining else 0
-        return self.connection_count < self.max_connections + extra
+        """Whether another connection may be accepted, if only to refuse its request.
+
+        Beyond the limit the queue waits while room can be made: idle connections are closed for it, silent
+        ones once they are `FIRST_BYTE_GRACE_SECONDS` old.
+        """
+        if self.connection_count < self.max_connections:
+            return True
+        if self.connection_count >= self.max_connections + self.MAX_EXTRA_CONNECTIONS:
+            return False
+        return self.server_state.draining or not any(
+            connection.idle and not connection.closing for connection in self.connections
+        )
 
     async def _accept_until_quiet(self, listener: socket.socket) -> None:
         """Accepts connections until none has come for ACCEPT_QUIET_SECONDS."""
