Connections in use are given up with an answer, and at rest only after two seconds

Cause: Front._trim_client_pools and _close_for_standby closed at rest where nothing else was needed than fewer connections.

Change: above the target (half of what clients may use) the answer to a request says Connection: close if the connection was at rest for 0.2 s before it, or if it is its first: no request can cross that. At rest a connection is closed after 2 s there, in standby, and while over half of the limit is in use (as before). The emergency above nine tenths of the limit is as it was. Logged: 'client connections above target' and '... at target', with how many are used and were given up.

--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -79,6 +79,8 @@
         # When the connection was accepted (first request) or the first byte of the current request was read.
         self.message_started_at = self.last_activity
         self.request_seen = False  # whether a request was ever handled, shed or begun to be streamed
+        self.in_client_pool = False  # whether it counts among the connections that clients use
+        self.rest_seconds: float | None = None  # before the current request; None: it is the first one
         self.scope = anyio.CancelScope()
         self.tasks: TaskGroup  # set by `serve`
 
@@ -110,6 +112,7 @@
         except Exception:
             self.server_state.log.exception("a client's connection failed")
         finally:
+            self._leave_client_pool()
             self._finish_upload(False)
             if self.exchange is not None:
                 self.server_state.handler.client_disconnected(self.exchange)
@@ -131,6 +134,7 @@
         if result is streams.EndResult.DATA_UNREAD:
             return False
         self.closing = True
+        self._leave_client_pool()
         idle_seconds = self.server_state.clock() - self.last_activity
         self.server_state.closures.record(reason, idle_seconds, result is streams.EndResult.CROSSED)
         self.scope.cancel()
@@ -204,9 +208,11 @@
                 if discarded > self.MAX_DISCARDED_BYTES:
                     await anyio.sleep_forever()  # the writing task ends the connection after LINGER_SECONDS
                 continue
-            self.last_activity = self.server_state.clock()
+            now = self.server_state.clock()
             if self.request_seen and self.idle:
-                self.message_started_at, self.read_wait_seconds = self.last_activity, 0.0
+                self.rest_seconds = now - self.last_activity
+                self.message_started_at, self.read_wait_seconds = now, 0.0
+            self.last_activity = now
             if self.exchange is not None and self.upload is None:
                 # Clients do not pipeline: bytes past the declared length mean that the framing cannot be
                 # trusted.
@@ -219,11 +225,8 @@
                     data, self.unread_seconds, self.server_state.closes_connections
                 )
                 if nack is not None:
-                    self.request_seen, self.unread_seconds, self.closing = (
-                        True,
-                        0.0,
-                        self.server_state.closes_connections,
-                    )
+                    self._note_request()
+                    self.unread_seconds, self.closing = 0.0, self.server_state.closes_connections
                     self._send(nack)
                     continue
             self.http.receive_data(data)
@@ -392,8 +395,9 @@
 
     def _start_streaming(self) -> None:
         """Starts the invocation of a large request: the rest of its body is streamed as it arrives."""
-        request, self.request_seen = self.request, True
+        request = self.request
         assert request is not None
+        self._note_request()
         pipe = BodyPipe()
         decoded = messages.decode_invocation(request, bytes(self.body), self.server_state.offerings, pipe)
         if isinstance(decoded, BadRequest):
@@ -417,7 +421,7 @@
         """Handles a complete request: a health check or an invocation."""
         request = self.request
         assert request is not None
-        self.request_seen = True
+        self._note_request()
         if self.http.trailing_data[0]:
             # The declared length was too short: otherwise the surplus would be parsed as the next request.
             self._reject(400, "more came than one invocation")
@@ -452,6 +456,27 @@
                 )
             )
 
+    def _note_request(self) -> None:
+        """Notes that a request is handled, shed or begun to be streamed."""
+        if not self.request_seen:
+            self.request_seen = self.in_client_pool = True
+            self.server_state.client_pool.used += 1
+
+    def _leave_client_pool(self) -> None:
+        if self.in_client_pool:
+            self.in_client_pool = False
+            self.server_state.client_pool.used -= 1
+
+    def _is_last_response(self) -> bool:
+        """Whether the response to the current invocation ends the connection, and says so."""
+        if self.server_state.closes_connections:
+            return True
+        if not self.server_state.client_pool.should_release(self.rest_seconds):
+            return False
+        self._leave_client_pool()
+        self.server_state.client_pool.released_count += 1
+        return True
+
     def _reject(self, status: int, message: str) -> None:
         """Answers and ends the connection, since the start of the next request is not known."""
         self.closing = True
@@ -466,7 +491,7 @@
         self.exchange = None
         try:
             self._respond(
-                *messages.encode_client_response(answer, self.server_state.closes_connections),
+                *messages.encode_client_response(answer, self._is_last_response()),
                 answer.body_pipe,
             )
         except Exception:
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -31,23 +31,14 @@
     NEAR_LIMIT_SHARE = 0.9
     BACKLOG = 1024  # connections that the kernel may queue before this node accepts them
     IDLE_TIMEOUT_SECONDS = 10.0  # lets clients with occasional requests reuse their connections
-    BUSY_IDLE_TIMEOUT_SECONDS = (
-        2.0  # while over half of the limit is in use; clients cope with a close by then
-    )
     # Accepted beyond the limit, where a request is refused at once: without it, requests would wait unread in
     # the kernel's queue for as long as all connections are busy. They use spare descriptors.
     MAX_EXTRA_CONNECTIONS = 8
     FIRST_READ_BYTES = 65536  # as much as later reads take at once
-    # In standby, connections idle for this long are closed once standby has lasted as long ...
-    STANDBY_IDLE_SECONDS = 0.6
-    # ... and all idle ones after this time; by then clients in use have seen `Connection: close`.
-    STANDBY_GRACE_SECONDS = 2.0
     FIRST_BYTE_GRACE_SECONDS = 0.1  # for a client that connects in order to send a request at once
-
-    # Share of the clients' pool limit above which connections are closed ...
-    POOL_TARGET_SHARE = 0.5
-    # ... if idle for this long; clients with steady traffic reuse theirs sooner.
-    POOL_IDLE_SECONDS = 0.2
+    # At rest, after which clients expect that a connection is closed: an earlier close crosses more requests.
+    # It holds in standby, while clients use too many connections, and while over half of the limit is in use.
+    EXPECTED_IDLE_SECONDS = 2.0
 
     def __init__(
         self,
@@ -55,14 +46,11 @@
         max_connections: int,
         tasks: Tasks,
         listener_is_shared: bool = False,
-        client_pool_limit: int | None = None,
     ) -> None:
         """Creates a front that holds at most `max_connections`.
 
-        `listener_is_shared`: other processes accept on the socket too, so that its backlog is left alone.
-        `client_pool_limit`: how many connections clients have at most for their requests.
+        `listener_is_shared`: other processes accept on the socket too, so that its queue is left to them.
         """
-        self.client_pool_limit = max_connections if client_pool_limit is None else client_pool_limit
         self.server_state, self.max_connections, self.tasks, self.listener_is_shared = (
             server_state,
             max_connections,
@@ -75,7 +63,6 @@
         self.accepting = False  # whether `run` accepts connections, or those that are still queued
         self.accept_scope: anyio.CancelScope | None = None  # None until `run` is called
         self.accept_deadline = math.inf  # of `accept_scope`, on the event loop's clock
-        self.standby_since = 0.0
 
     async def run(self, listener: socket.socket) -> None:
         """Accepts connections until the node drains, then those still queued; closes the socket.
@@ -288,19 +275,12 @@
 
     def set_standby(self, standby: bool) -> None:
         """Enters or leaves standby. New connections are still accepted: readiness informs the front."""
-        self.server_state.standby, self.standby_since = standby, self.server_state.clock()
+        self.server_state.standby = standby
 
     def _close_for_standby(self, now: float) -> None:
-        """Closes idle connections; one in use ends with its next response, which says so.
-
-        Long-idle connections are closed first, so that requests in transit are not lost.
-        """
-        standby_seconds = now - self.standby_since
+        """Closes connections at rest; one in use ends with its next response, which says so."""
         for connection in list(self.connections):
-            if connection.idle and (
-                standby_seconds > self.STANDBY_GRACE_SECONDS
-                or now - connection.last_activity > self.STANDBY_IDLE_SECONDS < standby_seconds
-            ):
+            if connection.idle and now - connection.last_activity > self.EXPECTED_IDLE_SECONDS:
                 self._run_isolated(connection, connection.close_if_idle, CloseReason.STANDBY)
 
     def sweep(self) -> None:
@@ -308,9 +288,9 @@
         now = self.server_state.clock()
         if self.server_state.standby:
             self._close_for_standby(now)
-        self._trim_client_pools(now)
+        self._trim_client_pool(now)
         idle_timeout = (
-            self.BUSY_IDLE_TIMEOUT_SECONDS
+            self.EXPECTED_IDLE_SECONDS
             if self.connection_count > 0.5 * self.max_connections
             else self.IDLE_TIMEOUT_SECONDS
         )
@@ -319,27 +299,26 @@
         if self.connection_count > self.NEAR_LIMIT_SHARE * self.max_connections:
             self._make_room()
         self.server_state.closures.flush()
+        self.server_state.client_pool.log_changes()
 
-    def _trim_client_pools(self, now: float) -> None:
-        """Closes the longest idle connections while clients use more than a share of their pool limit.
+    def _trim_client_pool(self, now: float) -> None:
+        """Closes the longest idle connections while clients use more than their target.
 
         Clients that sent one request and kept their connection forever once used up all that clients may
         have, so that an idle node received no requests (incident r936087).
         """
-        used = [
+        excess = self.server_state.client_pool.excess
+        if excess <= 0:
+            return
+        unused = [
             connection
             for connection in self.connections
-            if connection.request_seen and not connection.closing
+            if connection.request_seen
+            and connection.idle
+            and now - connection.last_activity > self.EXPECTED_IDLE_SECONDS
         ]
-        excess = len(used) - round(self.POOL_TARGET_SHARE * self.client_pool_limit)
-        if excess > 0:
-            unused = [
-                connection
-                for connection in used
-                if connection.idle and now - connection.last_activity > self.POOL_IDLE_SECONDS
-            ]
-            for connection in sorted(unused, key=lambda connection: connection.last_activity)[:excess]:
-                self._run_isolated(connection, connection.close_if_idle, CloseReason.CLIENT_POOL)
+        for connection in sorted(unused, key=lambda connection: connection.last_activity)[:excess]:
+            self._run_isolated(connection, connection.close_if_idle, CloseReason.CLIENT_POOL)
 
     def _make_room(self) -> bool:
         """Closes some silent connections, or else some idle ones, oldest first; returns whether it found any.
--- a/thornladder/node/clients/server_state.py
+++ b/thornladder/node/clients/server_state.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import math
+import sys
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 from thornladder.interface import Offering
 from thornladder.node.body_budget import BodyBudget
+from thornladder.node.clients.client_pool import ClientPool
 from thornladder.node.clients.closures import ClosureLog
 from thornladder.node.clients.early import EarlyShedder, ShedPolicy
 from thornladder.node.exchange import Exchange
@@ -52,11 +54,13 @@
         is_lagging: Callable[[], bool],
         shed_policy: ShedPolicy,
         log: Any,
+        client_pool_limit: int = sys.maxsize,
     ) -> None:
+        """`client_pool_limit`: how many connections clients have at most for their requests."""
         self.handler, self.clock, self.body_budget, self.log = handler, clock, body_budget, log
         self.is_lagging = is_lagging  # whether this node is late in reading what it has received
         self.shed_policy = shed_policy
-        self.closures = ClosureLog(clock, log)
+        self.closures, self.client_pool = ClosureLog(clock, log), ClientPool(client_pool_limit, log)
         self.offerings: Mapping[str, Offering] = {}
         self.replaced_deadline, self.replaced_at = math.inf, -math.inf  # of the settings before the present
         self.set_offerings(offerings)
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -116,10 +116,10 @@
         for extension in extensions:
             handler, shed_policy = extension.wrap(handler, shed_policy)
         server_state = ServerState(
-            handler, host.node.offerings, clock, body_budget, lambda: host.lag.is_late, shed_policy, log
-        )
-        client_pool_limit = max(round(CLIENT_POOL_SHARE * config.sockets), 4)
-        front = Front(server_state, max_clients, tasks, config.inherited is not None, client_pool_limit)
+            handler, host.node.offerings, clock, body_budget, lambda: host.lag.is_late, shed_policy, log,
+            max(round(CLIENT_POOL_SHARE * config.sockets), 4),
+        )  # fmt: skip
+        front = Front(server_state, max_clients, tasks, config.inherited is not None)
         extra_endpoints = {
             path: endpoint
             for extension in extensions
