A client whose socket the event loop has closed counts as left

Cause: the event loop reads the reset and closes the socket a turn before the reading task learns of it; a descriptor of -1 was reported as 'no events', so the last look at the client before a push said that it was there.

The new test shows it without chance and failed before.

Why this works: a closed socket is reported as invalid, which is an end for peer_closed and stale for a connection to a backend.

--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -184,6 +184,18 @@
         client_socket.close()
 
 
+# Of 1,200 plays with a reset 23 pushed a request 2 to 3 ms after it: the event loop had read the reset and
+# closed the socket, which counted as one on which nothing had happened.
+async def test_a_socket_that_the_event_loop_has_closed_counts_as_left() -> None:
+    async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+        address = listener.extra(anyio.abc.SocketAttribute.local_address)
+        stream = await anyio.connect_tcp(*address)
+        assert not streams.peer_closed(stream)
+        stream._transport.abort()
+        await wait_until(lambda: streams.raw_socket(stream).fileno() < 0)
+        assert streams.peer_closed(stream) and streams.has_unread_data(stream)
+
+
 @pytest.mark.parametrize("failing_call", ["dup", "poll"])
 async def test_a_failed_socket_check_does_not_count_as_a_disconnect(
     failing_call: str, monkeypatch: pytest.MonkeyPatch
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -153,7 +153,8 @@
 def peer_closed(stream: SocketStream) -> bool:
     """Whether the other side has closed, half-closed or reset the stream, even behind unread data.
 
-    False if the socket cannot be inspected: reading from it will show the end.
+    A socket that this side has closed counts as well: the event loop closes it once it has read a reset, a
+    turn before the reader learns of it. False if the socket cannot be inspected: reading will show the end.
     """
     events = _poll_events(stream, select.POLLIN | select.POLLRDHUP)
     if not events:
@@ -218,7 +219,7 @@
         # loop's own (incident: an AttributeError ended the accepting task, and with it the node).
         return None
     if descriptor < 0:
-        return 0
+        return select.POLLNVAL  # closed by this side
     poller = select.poll()
     poller.register(descriptor, event_mask)
     return sum(events for _, events in poller.poll(0))
