An error on a client's connection no longer leaves its open request unanswered

Not seen in service.

Why this works: before the connection ends, an open request to which nothing has been answered gets the fixed 502, which promises nothing, written without the parts that may have failed.

--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from contextlib import suppress
 
 import anyio
 import h11
@@ -111,6 +112,7 @@
                 tasks.cancel_scope.cancel()
         except Exception:
             self.server_state.log.exception("a client's connection failed")
+            self._answer_after_error()
         finally:
             self._leave_client_pool()
             self._finish_upload(False)
@@ -122,6 +124,22 @@
                     streams.reset(self.stream)
             await streams.close(self.stream)
 
+    def end_after_error(self) -> None:
+        """Ends the connection after an unexpected error; an open request is answered as failed."""
+        self._answer_after_error()
+        self.scope.cancel()
+
+    def _answer_after_error(self) -> None:
+        """Answers the open request, if there is one, without the parts that may have failed.
+
+        The answer promises nothing: the request may have run.
+        """
+        is_open = self.exchange is not None or self.request is not None or bool(self.http.trailing_data[0])
+        if is_open and self.download is None and not self.outbox and not self.closing:
+            self.closing = True
+            with suppress(Exception):
+                streams.try_write(self.stream, messages.FALLBACK_RESPONSE)
+
     def close_if_idle(self, reason: CloseReason = CloseReason.IDLE_TIMEOUT) -> bool:
         """Closes the connection if it is idle and no request has arrived; returns whether it did.
 
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -351,4 +351,4 @@
             action(*arguments)
         except Exception:
             self.server_state.log.exception("checking a client's connection failed")
-            connection.scope.cancel()
+            connection.end_after_error()
