A request on a connection that cannot be set up is refused

Callers would see: a new connection closed with its request read and no answer, where the set-up of its stream fails (no buffer space, or an error of the event loop's).

Cause: Front._serve closed the socket on any error and dropped what had been read with the accept.

Why this works: nothing of the request has run, so 503 is true; it fits the empty send buffer of a new connection.

--- a/tests/test_connection_errors.py
+++ b/tests/test_connection_errors.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import errno
+import socket
 from typing import Any
 
 import pytest
+from anyio.abc import SocketStream
 from harness import LoopbackCluster, ReceivedMessage, reply, wait_until
+from test_shutdown import request_bytes
 
 from thornladder.node.clients.connection import ClientConnection
+from thornladder.rig.soak.client import RawConnection
 
 pytestmark = pytest.mark.anyio
 
@@ -49,3 +54,35 @@
         fail_once(monkeypatch, ClientConnection, step, AttributeError("unexpected"))
         assert (await client.ask("a1", "pay", 900, b"x")).target == "502"
         assert [message.headers["x-call-id"] for message in cluster.backends[0].received] == ["a0"]
+
+
+def connect_and_send(port: int) -> RawConnection:
+    """Connects and sends a request in one step: the node finds it when it accepts the connection."""
+    connection = socket.create_connection(("127.0.0.1", port))
+    connection.sendall(request_bytes("a", "look", 0.9))
+    connection.setblocking(False)
+    return RawConnection(connection)
+
+
+# Found by reading: a request that had been read was dropped where its connection could not be set up.
+@pytest.mark.parametrize(
+    "error", [OSError(errno.ENOBUFS, "No buffer space available"), ValueError("bad"), AttributeError("x")]
+)
+async def test_a_request_on_a_connection_that_cannot_be_set_up_is_refused(
+    error: Exception, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async with LoopbackCluster(lambda _: reply(200)) as cluster:
+        with monkeypatch.context() as patch:
+            patch.setattr(SocketStream, "from_socket", raising(error))
+            client = connect_and_send(cluster.port)
+            await client.receive()
+        assert client.buffer.startswith(b"HTTP/1.1 503")
+        client.close()
+        assert not cluster.backends[0].received
+
+
+def raising(error: Exception) -> Any:
+    async def from_socket(_: Any) -> Any:
+        raise error
+
+    return from_socket
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -158,8 +158,7 @@
     def _refuse_connection(self, client_socket: socket.socket) -> None:
         """Refuses the request of a new connection, if any of it has arrived, and closes the connection."""
         if self._read_initial(client_socket):
-            with suppress(OSError):
-                client_socket.send(messages.encode_nack(0.0, True))
+            self._send_nack(client_socket)
         client_socket.close()
 
     def _take_connection(self, client_socket: socket.socket) -> None:
@@ -212,13 +211,24 @@
             finally:
                 self.connections.discard(connection)
         except (OSError, ValueError):
-            client_socket.close()  # closed by the client before it sent anything
+            self._close_unserved(client_socket, initial_data)  # mostly since the client has closed it
         except Exception:
-            client_socket.close()
+            self._close_unserved(client_socket, initial_data)
             raise
         finally:
             self.connection_count -= 1
 
+    def _close_unserved(self, client_socket: socket.socket, initial_data: bytes) -> None:
+        """Closes a connection that could not be set up; what was read of a request is refused."""
+        if initial_data:
+            self._send_nack(client_socket)
+        client_socket.close()
+
+    def _send_nack(self, client_socket: socket.socket) -> None:
+        """Refuses a request, of which nothing has run, on a connection that is about to be closed."""
+        with suppress(OSError):
+            client_socket.send(messages.encode_nack(0.0, True))  # fits an empty send buffer
+
     async def drain(self, schedule: ShutdownSchedule, end_unanswered: Callable[[], None]) -> None:
         """Accepts late connections, then closes idle ones, until each request received has its answer.
 
