A lack of memory while a new connection is read does not end the connection

Callers would see: a new connection closed, with its request unread or read, where the first read fails with ENOMEM or ENOBUFS for a moment. Not seen in service.

Cause: Front._read_initial took every error of recv for a client that had left; if the second look failed, after the request had been read, that was dropped with it.

Evidence: test_a_lack_of_memory_while_a_new_connection_is_read_loses_no_request, both cases failed before.

Why this works: these two errors say nothing about the client; the connection is served with what was read, and its stream reads on. All other errors still count as a client that has left, which a broken connection is.

--- a/tests/test_connection_errors.py
+++ b/tests/test_connection_errors.py
@@ -12,6 +12,7 @@
 from test_shutdown import request_bytes
 
 from thornladder.node.clients.connection import ClientConnection
+from thornladder.node.clients.front import Front
 from thornladder.rig.soak.client import RawConnection
 
 pytestmark = pytest.mark.anyio
@@ -86,3 +87,33 @@
         raise error
 
     return from_socket
+
+
+# Found by reading: a new connection was closed, unread or with its request, where a read failed for a moment.
+@pytest.mark.parametrize("failing_call", [1, 2])
+async def test_a_lack_of_memory_while_a_new_connection_is_read_loses_no_request(
+    failing_call: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    calls = []
+
+    class FailingSocket:
+        """A socket of which one call of `recv` fails for want of memory."""
+
+        def __init__(self, inner: socket.socket) -> None:
+            self.inner, self.setblocking = inner, inner.setblocking
+
+        def recv(self, *args: int) -> bytes:
+            calls.append(args)
+            if len(calls) == failing_call:
+                raise OSError(errno.ENOMEM, "Cannot allocate memory")
+            return self.inner.recv(*args)
+
+    read_initial = Front._read_initial
+    monkeypatch.setattr(
+        Front, "_read_initial", lambda front, client: read_initial(front, FailingSocket(client))
+    )
+    async with LoopbackCluster(lambda _: reply(200)) as cluster:
+        client = connect_and_send(cluster.port)
+        await client.receive()
+        assert client.buffer.startswith(b"HTTP/1.1 200")
+        client.close()
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import math
 import socket
 from collections.abc import Callable
@@ -198,8 +199,9 @@
             return initial_data if initial_data and client_socket.recv(1, socket.MSG_PEEK) else None
         except (BlockingIOError, InterruptedError):
             return initial_data
-        except OSError:
-            return None
+        except OSError as error:
+            # A lack of memory says nothing about the client, unlike all other errors.
+            return initial_data if error.errno in (errno.ENOMEM, errno.ENOBUFS) else None
 
     async def _serve(self, client_socket: socket.socket, initial_data: bytes, unread_seconds: float) -> None:
         try:
