The last process at an inherited socket serves what is queued there before it ends

Callers would see: where a keeper or supervisor owns the listening socket and ends its only process, clients that connect after SIGTERM get no answer, and a reset once the owner ends.

Cause: a process with an inherited socket stopped accepting at once, for the queue is left to the process that stays, without looking whether there is one.

Why this works: whether another process of the node serves is looked up when the shutdown begins, before accepting is stopped; if none does, the process accepts and empties the queue as one that owns its socket.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -110,6 +110,21 @@
     return reply(200, request.headers.get("x-call-id", "").encode())
 
 
+# Found by reading: a process with an inherited socket left its queue to a successor that was not there.
+async def test_the_last_process_at_an_inherited_socket_answers_what_is_queued(tmp_path: Path) -> None:
+    async with NodeProcesses(tmp_path, done) as processes:
+        process, admin = await processes.run()
+        await processes.wait_ready(admin)
+        process.send_signal(signal.SIGTERM)
+        answers = []
+        for number in range(8):  # clients go on connecting for 0.2 to 0.4 s
+            client = await processes.client()
+            answers.append((await client.ask(f"late{number}", "look")).target)
+            await anyio.sleep(0.03)
+        assert answers == ["200"] * 8
+        assert await process.wait() == 0
+
+
 async def test_three_consecutive_upgrades_under_load_lose_no_invocation(tmp_path: Path) -> None:
     answered: Counter[str] = Counter()
     stopped = anyio.Event()
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -50,7 +50,7 @@
     ) -> None:
         """Creates a front that holds at most `max_connections`.
 
-        `listener_is_shared`: other processes accept on the socket too, so that its queue is left to them.
+        `listener_is_shared`: other processes may accept on the socket too.
         """
         self.server_state, self.max_connections, self.tasks, self.listener_is_shared = (
             server_state,
@@ -68,7 +68,7 @@
     async def run(self, listener: socket.socket) -> None:
         """Accepts connections until the node drains, then those still queued; closes the socket.
 
-        The queue of a shared socket is left to the process that stays.
+        The queue of a shared socket is left to the process that stays, if there is one.
         """
         self.accepting, self.is_open = True, not self.server_state.draining
         with anyio.CancelScope(deadline=self.accept_deadline) as self.accept_scope:
@@ -76,7 +76,7 @@
                 await self._wait_for_room()
                 await anyio.wait_readable(listener)
                 await self._accept_queued(listener)
-        if not self.listener_is_shared:
+        if not self._leaves_queue:
             with anyio.move_on_after(self.EMPTY_QUEUE_SECONDS):
                 await self._accept_until_quiet(listener)
             await self._empty_queue(listener)
@@ -84,6 +84,11 @@
         self.accepting = False
         self.server_state.log.info("stopped accepting")
 
+    @property
+    def _leaves_queue(self) -> bool:
+        """Whether another process accepts what is queued at the listening socket."""
+        return self.listener_is_shared and self.server_state.has_successor
+
     async def _empty_queue(self, listener: socket.socket) -> None:
         """Accepts what is still queued: closing the socket over it would reset requests that were taken.
 
@@ -238,7 +243,7 @@
         that is incomplete then is refused, and `end_unanswered` ends the invocations in flight.
         """
         self.server_state.shutdown, self.is_open = schedule, False
-        accept_seconds = 0.0 if self.listener_is_shared else schedule.accept_until - self.server_state.clock()
+        accept_seconds = 0.0 if self._leaves_queue else schedule.accept_until - self.server_state.clock()
         self.accept_deadline = anyio.current_time() + accept_seconds
         if self.accept_scope is not None:
             self.accept_scope.deadline = self.accept_deadline
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -164,7 +164,7 @@
     """Starts to accept clients; waits for the endpoint list first if another process of the node runs."""
     while handover.other_processes and not host.list_known and not front.server_state.draining:
         await anyio.sleep(0.02)
-    if front.server_state.draining and front.listener_is_shared:
+    if front.server_state.draining and front.listener_is_shared and front.server_state.has_successor:
         return
     # One's own socket has queued connections ever since it was opened.
     if not front.server_state.draining:
