A start opens the address of clients last, after what may fail

Callers would see: at a restart whose second address is taken, requests that the kernel had accepted at the first one are reset as the process ends with code 1. Clients whose front has not noticed the restart connect at once.

Evidence: test_a_start_that_fails_takes_no_clients failed before (the clients' address was opened first).

Why this works: nothing is accepted for a process that cannot start.

--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import socket
@@ -13,7 +14,19 @@
 
 import anyio
 import pytest
-from harness import READY_REQUEST, Client, FakeServer, ReceivedMessage, config, list_line, reply
+from harness import (
+    READY_REQUEST,
+    Client,
+    FakeServer,
+    ReceivedMessage,
+    RecordingLog,
+    config,
+    list_line,
+    reply,
+)
+
+from thornladder import settings
+from thornladder.node import messages, service
 
 pytestmark = pytest.mark.anyio
 
@@ -116,3 +129,20 @@
     client = Client(await anyio.connect_tcp("127.0.0.1", port))
     async with client.stream:
         return await client.ask("b", "look")
+
+
+# Found by reading: a start that failed at the admin address had opened the address of clients before, and
+# reset what the kernel had accepted there.
+async def test_a_start_that_fails_takes_no_clients(monkeypatch: pytest.MonkeyPatch) -> None:
+    opened: list[settings.Address] = []
+
+    def create_listener(address: settings.Address) -> socket.socket:
+        opened.append(address)
+        raise OSError(errno.EADDRINUSE, "Address already in use")
+
+    monkeypatch.setattr(service, "_create_listener", create_listener)
+    document = config([], free_port()) | {"admin_addr": f"127.0.0.1:{free_port()}"}
+    node_config = settings.decode(document, {})
+    with pytest.raises(OSError, match="in use"):
+        await service.run(node_config, messages.EMPTY_LIST, RecordingLog())
+    assert opened == [node_config.admin]
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -61,12 +61,13 @@
     configuration file, read again on SIGHUP. Raises OSError if it cannot listen on a configured address.
     """
     clock = Clock()
+    # First what may fail: once the clients' address is open, the kernel takes connections for this process.
+    admin_listener = _create_listener(config.admin) if config.admin else None
     if config.inherited is None:
         listener = _create_listener(config.listen)
     else:
         listener = socket.socket(fileno=config.inherited)
         listener.setblocking(False)
-    admin_listener = _create_listener(config.admin) if config.admin else None
     reserved = (
         RESERVED_DESCRIPTORS
         + (AdminServer.MAX_DESCRIPTORS if admin_listener else 0)
