A push tells its backend the time that is left when it is sent

Evidence: test_a_push_that_waited_for_its_connection_tells_the_time_that_is_left: 890 ms told 0.3 s after a request with 900 ms before, under 600 ms now.

Why this works: the head is encoded in the step that writes it, from the deadline of the push itself. A body that still comes has the client's whole time, as before.

--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -115,6 +115,23 @@
         client_socket.close()
 
 
+# Found by reading: a backend was told the time that the client had left when the push was decided on, not
+# when it was sent, 0.3 s later.
+async def test_a_push_that_waited_for_its_connection_tells_the_time_that_is_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    gate = ConnectGate(monkeypatch)
+    async with LoopbackCluster(complete) as cluster:
+        client_socket = connect_socket(cluster.port)
+        client_socket.sendall(request_bytes("aa", "pay", b"x"))  # whose only push has all of the time
+        await wait_until(lambda: gate.waiting == 1)
+        await anyio.sleep(0.3)
+        gate.open.set()
+        await wait_until(lambda: cluster.backends[0].received)
+        assert int(cluster.backends[0].received[0].headers["x-budget-ms"]) <= 600
+        client_socket.close()
+
+
 @CLIENT_ENDS
 async def test_a_request_that_arrives_with_its_clients_close_is_not_pushed(
     end: Callable[[socket.socket], None],
--- a/thornladder/node/backends/pushes.py
+++ b/thornladder/node/backends/pushes.py
@@ -163,11 +163,9 @@
         number, scope = exchange.open_push()
         scope.deadline = anyio.current_time() + timeout
         send_by = self.clock() + send_within
-        self.tasks.start("a push", self._push, exchange, number, backend, timeout, send_by)
+        self.tasks.start("a push", self._push, exchange, number, backend, send_by)
 
-    async def _push(
-        self, exchange: Exchange, number: int, backend: str, timeout: float, send_by: float
-    ) -> None:
+    async def _push(self, exchange: Exchange, number: int, backend: str, send_by: float) -> None:
         started_at = self.clock()
         # The end is reported even after an unexpected error: without it the invocation would get no answer.
         outcome, answer, scope, streaming = Outcome.CONNECTION_LOST, None, exchange.push_scopes[number], False
@@ -189,9 +187,8 @@
             self.listener.answer_held(exchange, number, started_at)
 
         try:
-            time_left = exchange.time_budget if exchange.body_incoming else timeout
             result = await self._send(
-                backend, exchange.request, time_left, scope, on_streaming, exchange, send_by, on_held
+                backend, exchange.request, scope, on_streaming, exchange, send_by, on_held
             )
             result_outcome = outcome_of(result)
             answer = messages.completed_response(result) if result_outcome is Outcome.COMPLETED else None
@@ -214,7 +211,7 @@
         scope = anyio.CancelScope(deadline=anyio.current_time() + self.PROBE_TIMEOUT_SECONDS)
         outcome, report = Outcome.CONNECTION_LOST, NO_REPORT
         try:
-            result = await self._send(backend, self.probe_request, self.PROBE_TIMEOUT_SECONDS, scope)
+            result = await self._send(backend, self.probe_request, scope)
             outcome = outcome_of(result)
             if self.probe_request is messages.LOAD_PROBE and outcome is Outcome.COMPLETED:
                 report = messages.decode_load_report(result.body)
@@ -223,7 +220,7 @@
         self.listener.probe_ended(backend, outcome, report)
 
     async def _send(
-        self, backend: str, message: UpstreamRequest, time_left: float, scope: anyio.CancelScope,
+        self, backend: str, message: UpstreamRequest, scope: anyio.CancelScope,
         on_streaming: Callable[[UpstreamResponse], None] | None = None, exchange: Exchange | None = None,
         send_by: float = math.inf, on_held: Callable[[], None] | None = None,
     ) -> UpstreamResponse | Failure:  # fmt: skip
@@ -251,6 +248,10 @@
                 ):
                     result = Failure(Stage.CONNECTING, Cause.ABANDONED)
                 else:
+                    # What is left now: waiting for the connection may have taken some of it.
+                    time_left = scope.deadline - anyio.current_time()
+                    if exchange is not None and exchange.body_incoming:
+                        time_left = exchange.time_budget  # counts from the body's last byte
                     request = messages.encode_push(message, time_left, address[0])
                     max_body_bytes = (
                         messages.MAX_BODY_BYTES if on_streaming is not None else messages.MAX_BUFFERED_BYTES
