--- a/tests/test_idle_close.py
+++ b/tests/test_idle_close.py
@@ -174,3 +174,36 @@
         assert b"Connection" not in await ask_again(connection, client, 0.05)
         assert front.server_state.client_pool.used == 1
     await wait_until(lambda: front.server_state.client_pool.used == 0)
+
+
+# What report 3f88f1 left unsaid: that connections are closed, why, and how long they had been at rest.
+async def test_idle_closes_are_counted_and_logged_by_reason(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Front, "EXPECTED_IDLE_SECONDS", 0.2)
+    async with LoopbackCluster(lambda _: reply(200)) as cluster:
+        clients = [await cluster.client() for _ in range(3)]
+        for number, client in enumerate(clients):
+            assert (await client.ask(f"a{number}", "look")).target == "200"
+        assert (await cluster.call("GET", "/status"))[1]["used_connections"] == 3
+        assert (await cluster.call("POST", "/standby"))[0] == 200
+        for client in clients:
+            with pytest.raises(anyio.EndOfStream), anyio.fail_after(5.0):
+                await client.stream.receive()
+        status = (await cluster.call("GET", "/status"))[1]
+        assert status["idle_closes"] == {"standby": 3} and status["crossed_closes"] == 0
+        assert status["used_connections"] == status["released_connections"] == 0
+        await wait_until(lambda: cluster.log.find("idle connections closed"))
+        line = cluster.log.find("idle connections closed")
+        assert line["shortest_idle_seconds"] >= 0.2 and line["standby"] >= 1
+
+
+# Found by reading: a connection that ended with a request unanswered said nothing of it.
+async def test_a_request_left_unanswered_by_its_connection_is_logged(fronts: list[Front]) -> None:
+    async with LoopbackCluster(lambda _: None) as cluster:
+        client = await cluster.client()
+        await client.send("lost", "pay", 900, b"x")
+        await wait_until(lambda: cluster.backends[0].received)
+        (connection,) = fronts[0].connections
+        connection.scope.cancel()
+        await wait_until(lambda: cluster.log.find("a connection ended with a request unanswered"))
+        line = cluster.log.find("a connection ended with a request unanswered")
+        assert line == {"id": "lost", "offering": "pay"}
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -75,6 +75,7 @@
         self.exchange: Exchange | None = None
         self.outbox: deque[bytes] = deque()
         self.write_event = anyio.Event()
+        self.client_ended = False  # the client has closed, half-closed or reset the connection
         self.closing = False  # no more requests are handled; whatever is left to send is the last
         self.last_activity = server_state.clock()  # when bytes were last received or sent
         # When the connection was accepted (first request) or the first byte of the current request was read.
@@ -117,6 +118,7 @@
             self._leave_client_pool()
             self._finish_upload(False)
             if self.exchange is not None:
+                self._log_unanswered(self.exchange)
                 self.server_state.handler.client_disconnected(self.exchange)
             if self.download is not None:
                 self.download.abort()
@@ -124,6 +126,17 @@
                     streams.reset(self.stream)
             await streams.close(self.stream)
 
+    def _log_unanswered(self, exchange: Exchange) -> None:
+        """Logs a request that its connection leaves unanswered, unless its client has left."""
+        # An error's answer has set `closing`; a shutdown logs what it leaves by itself.
+        if self.client_ended or self.closing or self.server_state.draining:
+            return
+        self.server_state.log.warning(
+            "a connection ended with a request unanswered",
+            id=exchange.invocation.id,
+            offering=exchange.invocation.offering,
+        )
+
     def end_after_error(self) -> None:
         """Ends the connection after an unexpected error; an open request is answered as failed."""
         self._answer_after_error()
@@ -209,6 +222,7 @@
                 self.read_started_at = self.server_state.clock()
                 data = self.initial_data or await self.stream.receive()
             except STREAM_CLOSED_ERRORS:
+                self.client_ended = True
                 return
             finally:
                 self.read_wait_seconds, self.read_started_at = (
--- a/thornladder/node/operations.py
+++ b/thornladder/node/operations.py
@@ -46,12 +46,18 @@
     def status(self) -> AdminResponse:
         """The state of this process; 200 if it is ready for clients, else 503."""
         ready = self.host.list_known and self.front.is_open
+        server_state = self.front.server_state
+        client_pool, closures = server_state.client_pool, server_state.closures
         payload = {
-            "ready": ready, "standby": self.front.server_state.standby,
-            "leaving": self.front.server_state.draining, "list_known": self.host.list_known,
+            "ready": ready, "standby": server_state.standby,
+            "leaving": server_state.draining, "list_known": self.host.list_known,
             "backends": len(self.host.maintenance.entries),
             "maintenance": self.host.maintenance.out_of_service, "connections": len(self.front.connections),
             "in_hand": len(self.host.exchanges), "blind_since": self.host.list_stale_since,
+            "used_connections": client_pool.used, "target_connections": client_pool.target,
+            "released_connections": client_pool.released_count,
+            "idle_closes": {reason.value: count for reason, count in closures.counts.items()},
+            "crossed_closes": closures.crossed_count,
         }  # fmt: skip
         return AdminResponse(200 if ready else 503, payload)
 
