A process ends its connections in one step before it gives up its tasks

Cause: after the last look at the connections the process slept, stopped its extensions and cancelled its tasks; a request that the event loop read once the reading tasks were cancelled was dropped, and the close over an empty socket gave no reset.

Why this works: as the last act, what is in flight is ended, the event loop gets a turn to send it, and then each connection is ended in the step that looks at it: idle ones are shut down, what has arrived in whole or in part is refused straight on the socket, and from then on the kernel resets what still comes.

--- a/tests/test_idle_close.py
+++ b/tests/test_idle_close.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 
 import anyio
@@ -11,8 +11,11 @@
 from harness import LoopbackCluster, reply, wait_until
 from test_shutdown import request_bytes
 
+from thornladder.node import termination
 from thornladder.node.clients.connection import ClientConnection
 from thornladder.node.clients.front import Front
+from thornladder.node.shutdown import ShutdownSchedule
+from thornladder.node.termination import Termination
 from thornladder.rig.soak.client import ConnectionLost, RawConnection
 
 pytestmark = pytest.mark.anyio
@@ -207,3 +210,71 @@
         await wait_until(lambda: cluster.log.find("a connection ended with a request unanswered"))
         line = cluster.log.find("a connection ended with a request unanswered")
         assert line == {"id": "lost", "offering": "pay"}
+
+
+@pytest.fixture
+def terminations(monkeypatch: pytest.MonkeyPatch) -> list[Termination]:
+    """The terminations of nodes in this process, which leave the signals of this process alone."""
+    created: list[Termination] = []
+    original_init = Termination.__init__
+
+    def record_init(created_one: Termination, *args: Any, **kwargs: Any) -> None:
+        original_init(created_one, *args, **kwargs)
+        created.append(created_one)
+
+    monkeypatch.setattr(Termination, "__init__", record_init)
+    monkeypatch.setattr(termination.signal, "pthread_sigmask", lambda *_: None)
+    return created
+
+
+# Found by the soak, on a far too busy machine: a request that arrived in the last turn of a process was read by
+# the event loop and dropped, and the close after it told the client nothing.
+async def test_a_request_that_arrives_in_the_last_turn_of_a_process_is_left_unread(
+    fronts: list[Front], terminations: list[Termination], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # At the last look something was unread on the connection, so that it was not closed.
+    monkeypatch.setattr(Front, "_close_oldest_idle", lambda *_: True)
+    async with resting_client(fronts) as (front, _, client):
+        data, cancel_all = request_bytes("a1", "look", 0.9), terminations[0].tasks.cancel_all
+
+        def cancel_and_send() -> None:
+            cancel_all()
+            with suppress(BrokenPipeError):
+                client.socket.send(data)
+
+        monkeypatch.setattr(terminations[0].tasks, "cancel_all", cancel_and_send)
+        schedule = ShutdownSchedule(front.server_state.clock() - FAR_FUTURE_SECONDS, 1.0)
+        await terminations[0]._run(schedule)
+        with pytest.raises(ConnectionLost) as lost:
+            await client.receive()
+        assert lost.value.was_reset
+
+
+# The same where the request is, at the moment of the end.
+@pytest.mark.parametrize("where", ["in the kernel", "in the event loop", "in part"])
+async def test_a_request_that_arrives_as_the_process_ends_is_refused(where: str, fronts: list[Front]) -> None:
+    async with resting_client(fronts) as (front, connection, client):
+        data = request_bytes("a1", "look", 0.9)
+        if where == "in the event loop":
+            connection.stream._transport.get_protocol().data_received(data)
+        elif where == "in the kernel":
+            assert client.socket.send(data) == len(data)
+        else:
+            await client.send(data[:40])
+            await wait_until(lambda: not connection.idle)
+        connection.end_now()
+        await client.receive()
+        assert client.buffer.startswith(b"HTTP/1.1 503")
+        with pytest.raises(ConnectionLost) as lost:
+            await client.receive()
+        assert not lost.value.was_reset
+
+
+async def test_a_request_in_flight_as_the_process_ends_is_answered(fronts: list[Front]) -> None:
+    async with LoopbackCluster(lambda _: None) as cluster:
+        client = await cluster.client()
+        await client.send("a", "pay", 900, b"x")
+        await wait_until(lambda: cluster.backends[0].received)
+        (connection,) = fronts[0].connections
+        connection.end_now()
+        assert (await client.answer()).target == "502"
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -303,6 +303,9 @@
     async def drain(self, schedule: ShutdownSchedule, _: Callable[[], None]) -> None:
         self.schedules.append(schedule)
 
+    async def end_all(self, _: Callable[[], None]) -> None:
+        """Has no connections."""
+
 
 # Found by the soak: a process that took in SIGTERM late ended after the platform's kill.
 @pytest.mark.parametrize("before_start", [False, True])
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -171,6 +171,20 @@
         self.scope.cancel()
         return True
 
+    def end_now(self) -> None:
+        """Ends the connection in this step, at the end of the process; an open request is answered first.
+
+        Nothing that is read from now on would be answered. A request in flight fails, one that has arrived
+        unread or in part is refused: nothing of it has run.
+        """
+        if self.closing or self.download is not None or self.close_if_idle(CloseReason.SHUTDOWN):
+            return
+        self.closing = True
+        if not streams.unsent_bytes(self.stream):
+            has_started = self.exchange is not None
+            answer = messages.FALLBACK_RESPONSE if has_started else messages.encode_nack(0.0, True)
+            streams.answer_and_end(self.stream, answer)
+
     def refuse_incomplete(self) -> None:
         """Refuses a request that has not been received whole, since this process is about to end."""
         if self.closing or self.exchange is not None or self.download is not None or self.idle:
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -262,6 +262,14 @@
         settled_at = min(self.server_state.clock() + self.SETTLE_SECONDS, schedule.exit_by)
         await self._sleep_until(max(settled_at, self.server_state.clock() + self.DRAIN_POLL_SECONDS))
 
+    async def end_all(self, end_unanswered: Callable[[], None]) -> None:
+        """Ends all connections, as the last act of the process; whatever has arrived is answered."""
+        end_unanswered()
+        await anyio.sleep(0.0)  # the event loop sends these answers at the end of its turn
+        for connection in list(self.connections):
+            self._run_isolated(connection, connection.end_now)
+        await anyio.sleep(0.0)
+
     def _end_requests(self, end_unanswered: Callable[[], None]) -> None:
         """Gives every request that has no answer one at once."""
         end_unanswered()
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -101,6 +101,26 @@
         view.detach()  # the descriptor stays the transport's
 
 
+def answer_and_end(stream: SocketStream, answer: bytes) -> None:
+    """Drops what has arrived, writes a last answer and ends the connection, all in one step.
+
+    For a request that is not going to be read. What was written before must have been sent. Errors are
+    ignored: then the connection has ended.
+    """
+    with suppress(Exception):
+        transport_socket = raw_socket(stream)
+        view = socket.socket(transport_socket.family, socket.SOCK_STREAM, fileno=transport_socket.fileno())
+        try:
+            # Unread bytes would turn the end into a reset, which may overtake the answer.
+            with suppress(BlockingIOError):
+                while view.recv(MAX_READ_BYTES, socket.MSG_DONTWAIT):
+                    pass
+            view.send(answer)
+            view.shutdown(socket.SHUT_RDWR)
+        finally:
+            view.detach()  # the descriptor stays the transport's
+
+
 def limit_reads(stream: SocketStream) -> SocketStream:
     """Makes `stream` queue no more than one read of at most `MAX_READ_BYTES`; returns the same stream."""
     transport = getattr(stream, "_transport", None)
--- a/thornladder/node/termination.py
+++ b/thornladder/node/termination.py
@@ -57,6 +57,7 @@
             self.host.begin_shutdown(schedule.answer_by)
             await self._drain(schedule)
             await self._stop_extensions()
+            await self._end_connections()
             self._log_end(schedule)
         finally:
             # From here on there is nothing left that a signal could ask for, and nobody to handle one.
@@ -89,6 +90,12 @@
                 except Exception:
                     self.log.exception("an extension could not be stopped")
 
+    async def _end_connections(self) -> None:
+        try:
+            await self.front.end_all(self.host.end_unanswered)
+        except Exception:
+            self.log.exception("the last connections could not be ended in order")
+
     def _log_end(self, schedule: ShutdownSchedule) -> None:
         now = self.host.clock()
         for exchange in self.host.unanswered:
