--- a/tests/test_idle_close.py
+++ b/tests/test_idle_close.py
@@ -227,8 +227,8 @@
     return created
 
 
-# Found by the soak, on a far too busy machine: a request that arrived in the last turn of a process was read by
-# the event loop and dropped, and the close after it told the client nothing.
+# Found by the soak, on a far too busy machine: a request that arrived in the last turn of a process was read
+# by the event loop and dropped, and the close after it told the client nothing.
 async def test_a_request_that_arrives_in_the_last_turn_of_a_process_is_left_unread(
     fronts: list[Front], terminations: list[Termination], monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/thornladder/rig/soak/client.py
+++ b/thornladder/rig/soak/client.py
@@ -117,6 +117,10 @@
         """Whether new connections may be opened."""
         ...
 
+    def waited_seconds(self) -> float:
+        """Seconds for which the node's process has waited for a processor."""
+        ...
+
 
 # Returns the node for a new connection; None: no node takes one now.
 ChooseTarget = Callable[[], Target | None]
@@ -201,7 +205,7 @@
             reused=self.connection.requests > 0,
         )
         self.records.requests.append(record)
-        record.lost_before = self.clock.lost_seconds()
+        record.lost_before, record.waited_before = self.clock.lost_seconds(), self.target.waited_seconds()
         try:
             await self._exchange(self.connection, offering, record)
         except ConnectionLost as error:
@@ -210,6 +214,7 @@
             record.ended_at = self.clock.now() - error.seconds_ago
         record.ended_at = record.ended_at or self.clock.now()
         record.lost_at_end = record.lost_at_end or self.clock.lost_seconds()
+        record.waited_at_end = self.target.waited_seconds()
         if record.end is not End.ANSWERED:
             self._drop()
         if record.end is End.RESET and not is_repeat and await self._connect():
--- a/thornladder/rig/soak/clock.py
+++ b/thornladder/rig/soak/clock.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import time
+from contextlib import suppress
+from pathlib import Path
 from typing import Protocol
 
 import anyio
@@ -40,3 +42,10 @@
             await anyio.sleep(LAG_POLL_SECONDS)
             late = time.monotonic() - started - LAG_POLL_SECONDS
             self.total += late if late > LAG_IGNORED_SECONDS else 0.0
+
+
+def processor_wait_seconds(pid: int) -> float:
+    """Seconds for which a process was ready to run and had no processor, by the kernel's count; 0 if gone."""
+    with suppress(OSError, ValueError, IndexError):
+        return int(Path(f"/proc/{pid}/schedstat").read_text().split()[1]) / 1e9
+    return 0.0
--- a/thornladder/rig/soak/records.py
+++ b/thornladder/rig/soak/records.py
@@ -43,6 +43,9 @@
     # Seconds by which the machine had been late in all when the request was begun, and when it ended.
     lost_before: float = 0.0
     lost_at_end: float = 0.0
+    # Seconds for which the node had waited for a processor in all, at the same times.
+    waited_before: float = 0.0
+    waited_at_end: float = 0.0
 
     @property
     def unanswered_seconds(self) -> float:
@@ -74,6 +77,7 @@
     kill_after: float  # seconds
     ended_after: float  # seconds after the first signal to end
     killed: bool
+    waited_seconds: float  # for a processor, from the first signal to end
     exit_code: int
     expects_clean_exit: bool
     log_errors: list[str] = field(default_factory=list)
@@ -106,7 +110,8 @@
         )
         if request.end is End.ANSWERED:
             lost = request.lost_at_end - request.lost_before
-            late = request.ended_at - request.sent_at - request.deadline - lost
+            waited = max(request.waited_at_end - request.waited_before, 0.0)
+            late = request.ended_at - request.sent_at - request.deadline - lost - waited
             if request.sent_at and late > ANSWER_GRACE_SECONDS:
                 return f"{where}: answered {late:.3f} s late"
             if request.status == 200 and request.body_id != request.id:
@@ -139,7 +144,10 @@
     def _check_process(self, process: ProcessRecord) -> str | None:
         where = f"node {process.node}, signalled {process.signalled_at:.3f}"
         if process.killed:
-            return f"{where}: still running {process.kill_after:.3f} s after the signal"
+            return (
+                f"{where}: still running {process.kill_after:.3f} s after the signal, "
+                f"{process.waited_seconds:.3f} s of which without a processor"
+            )
         if process.expects_clean_exit and process.exit_code != 0:
             return f"{where}: exit code {process.exit_code}"
         # SIGINT amid the imports of a Python program ends it with a traceback; it has taken nothing then.
