--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -7,7 +7,8 @@
 import select
 import socket
 import struct
-from contextlib import suppress
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
 from enum import Enum
 from typing import cast
 
@@ -81,22 +82,34 @@
     if bool(getattr(getattr(stream, "_protocol", None), "read_queue", None)):
         return EndResult.DATA_UNREAD
     try:
-        transport_socket = raw_socket(stream)
-        descriptor = transport_socket.fileno()
+        descriptor = _fileno(stream)
     except Exception:
         return EndResult.DATA_UNREAD  # being closed already, and not this function's to end
     if descriptor < 0:
         return EndResult.ENDED
     poller = select.poll()
     poller.register(descriptor, select.POLLIN)
-    view = socket.socket(transport_socket.family, socket.SOCK_STREAM, fileno=descriptor)
     try:
-        if poller.poll(0):
-            return EndResult.DATA_UNREAD
-        view.shutdown(socket.SHUT_RDWR)
-        return EndResult.CROSSED if view.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) else EndResult.ENDED
+        with _socket_view(stream) as view:
+            if poller.poll(0):
+                return EndResult.DATA_UNREAD
+            view.shutdown(socket.SHUT_RDWR)
+            is_crossed = bool(view.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
     except OSError:
         return EndResult.ENDED  # the other side has reset the connection
+    return EndResult.CROSSED if is_crossed else EndResult.ENDED
+
+
+@contextmanager
+def _socket_view(stream: SocketStream) -> Iterator[socket.socket]:
+    """The stream's socket with all of its calls, which the event loop's own lacks; it needs no descriptor.
+
+    Raises OSError if the socket is closed.
+    """
+    transport_socket = raw_socket(stream)
+    view = socket.socket(transport_socket.family, socket.SOCK_STREAM, fileno=transport_socket.fileno())
+    try:
+        yield view
     finally:
         view.detach()  # the descriptor stays the transport's
 
@@ -107,18 +120,13 @@
     For a request that is not going to be read. What was written before must have been sent. Errors are
     ignored: then the connection has ended.
     """
-    with suppress(Exception):
-        transport_socket = raw_socket(stream)
-        view = socket.socket(transport_socket.family, socket.SOCK_STREAM, fileno=transport_socket.fileno())
-        try:
-            # Unread bytes would turn the end into a reset, which may overtake the answer.
-            with suppress(BlockingIOError):
-                while view.recv(MAX_READ_BYTES, socket.MSG_DONTWAIT):
-                    pass
-            view.send(answer)
-            view.shutdown(socket.SHUT_RDWR)
-        finally:
-            view.detach()  # the descriptor stays the transport's
+    with suppress(Exception), _socket_view(stream) as view:
+        # Unread bytes would turn the end into a reset, which may overtake the answer.
+        with suppress(BlockingIOError):
+            while view.recv(MAX_READ_BYTES, socket.MSG_DONTWAIT):
+                pass
+        view.send(answer)
+        view.shutdown(socket.SHUT_RDWR)
 
 
 def limit_reads(stream: SocketStream) -> SocketStream:
