--- a/Makefile
+++ b/Makefile
@@ -47,9 +47,11 @@
 measure-rollout: .venv-dev/done
 	.venv-dev/bin/python -m thornladder.measures.rollout $(if $(FULL),--full)
 
-# Some four minutes: 50 seeds of shutdowns of real processes. SEEDS and FIRST choose others.
+# Some eight minutes: 50 seeds of real processes that are shut down, and 50 of nodes in service. SEEDS and FIRST
+# choose others.
 soak: .venv-dev/done
 	.venv-dev/bin/python -m thornladder.measures.soak --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
+	.venv-dev/bin/python -m thornladder.measures.soak --kind service --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
 
 clean:
 	rm -rf .venv .venv-dev
--- a/thornladder/node/clients/closures.py
+++ b/thornladder/node/clients/closures.py
@@ -12,10 +12,10 @@
 class CloseReason(Enum):
     """Why a node closes an idle connection of a client."""
 
-    IDLE_TIMEOUT = "idle timeout"
-    FIRST_REQUEST_TIMEOUT = "no request"
-    CLIENT_POOL = "client pool"  # clients use more connections than leaves room for others
-    CONNECTION_LIMIT = "connection limit"
+    IDLE_TIMEOUT = "idle_timeout"
+    FIRST_REQUEST_TIMEOUT = "first_request_timeout"
+    CLIENT_POOL = "client_pool"  # clients use more connections than leaves room for others
+    CONNECTION_LIMIT = "connection_limit"
     STANDBY = "standby"
     SHUTDOWN = "shutdown"
 
@@ -53,7 +53,7 @@
         self.log.info(
             "idle connections closed",
             shortest_idle_seconds=round(self._shortest_idle_seconds, 3),
-            **{reason.name.lower(): count for reason, count in self._unlogged.items()},
+            **{reason.value: count for reason, count in self._unlogged.items()},
         )
         self._unlogged.clear()
         self._shortest_idle_seconds, self._logged_at = math.inf, self.clock()
