--- a/thornladder/measures/soak.py
+++ b/thornladder/measures/soak.py
@@ -2,8 +2,8 @@
 
 Two kinds. Shutdowns: a fleet of 2 to 8 nodes under signals in series, faulty backends, for some a crowd of
 idle connections (`rig/soak/plan.py`); clients send on all that is open until SIGKILL, at the platform's
-earliest. Service: clients that rest on kept connections, one node that has all of them while the others are in
-standby, hold-ups, restarts (`rig/soak/service_plan.py`).
+earliest. Service: clients that rest on kept connections, one node that has all of them while the others are
+in standby, hold-ups, restarts (`rig/soak/service_plan.py`).
 
 Every request has to get one whole answer in time, or to be left unread on a connection that had been used and
 whose end crossed it; a once-only one runs once at most; every process has to end by itself.
