Soak: nodes take SIGINT amid their start though the soak itself ignores it

Cause: the soak had been started in the background; a shell lets such a process ignore SIGINT, its children inherit that, and Python then sets up no handler, so a SIGINT that comes before the node handles signals is discarded. The platform stops nodes with SIGTERM, which shells leave alone.

Fix: the soak starts nodes with the default action. test_a_node_takes_sigint_amid_its_start_though_the_soak_ignores_it failed before (still running 1.4 s after the signal).

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import socket
 import sys
 from dataclasses import replace
@@ -153,3 +154,15 @@
             await wait_until(lambda: backend.mode is BackendMode.ANSWER)
             async with await anyio.connect_tcp(backend.host, backend.port):
                 tasks.cancel_scope.cancel()
+
+
+# Seed 9055, started in the background, had a node that was still running after SIGINT: it was told amid its
+# start, and had inherited from the shell that SIGINT is ignored until the node handles it.
+async def test_a_node_takes_sigint_amid_its_start_though_the_soak_ignores_it(tmp_path: Path) -> None:
+    shutdown = Shutdown(0.1, False, (Action(0.0, Step.INTERRUPT),))
+    handler = signal.signal(signal.SIGINT, signal.SIG_IGN)
+    try:
+        records = await Soak(replace(hanging_plan(), shutdowns=((shutdown,),)), tmp_path).play()
+    finally:
+        signal.signal(signal.SIGINT, handler)
+    assert records.processes and records.violations() == []
--- a/thornladder/rig/soak/play.py
+++ b/thornladder/rig/soak/play.py
@@ -71,6 +71,18 @@
     return settings
 
 
+_end_with_parent = signal_on_parent_exit(signal.SIGKILL)
+
+
+def prepare_process() -> None:
+    """Prepares a node's process before its program runs.
+
+    A shell that starts the soak in the background has it ignore SIGINT, and its children with it.
+    """
+    _end_with_parent()
+    signal.signal(signal.SIGINT, signal.SIG_DFL)
+
+
 class SoakNode:
     """One node of the fleet: its files, its process, its clients."""
 
@@ -156,7 +168,7 @@
                 self.soak.command,
                 env=environment,
                 stderr=log,
-                preexec_fn=signal_on_parent_exit(signal.SIGKILL),
+                preexec_fn=prepare_process,
             )
 
     async def _wait_until_ready(self) -> None:
