A process that ends while it still accepts refuses what is queued first

Callers would see: requests on new connections reset as a process ends, where its shutdown's time is up before accepting has ended.

Evidence: test_requests_still_queued_when_a_process_ends_are_refused: no answer within 5 s before; 503 three times now.

Why this works: the last act of the process refuses what is queued, on one descriptor at a time, before it ends the connections.

--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -65,25 +65,46 @@
         assert await process.wait() == 0
 
 
-# The same where no room was made until every request has to have its answer.
-async def test_requests_still_queued_when_the_time_of_a_shutdown_is_up_are_refused(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+@asynccontextmanager
+async def front_with_queue(
+    monkeypatch: pytest.MonkeyPatch, log: RecordingLog
+) -> AsyncIterator[tuple[Front, socket.socket, list[Client]]]:
+    """A front without room, in a shutdown whose time is up, with three requests in the kernel's queue."""
     monkeypatch.setattr(Front, "MAX_EXTRA_CONNECTIONS", 0)
-    log, now = RecordingLog(), 100.0
+    now = 100.0
     state = ServerState(
         None, {"look": OFFERINGS[0]}, lambda: now, BodyBudget(2**20), lambda: False, lambda *_: None, log
     )
     state.shutdown = ShutdownSchedule(now - DEADLINE_SECONDS, 1.0)
-    front = Front(state, 0, None)
     with socket.create_server(("127.0.0.1", 0)) as listener:
         listener.setblocking(False)
         clients = [await connect_and_send(listener.getsockname()[1], f"a{number}") for number in range(3)]
+        yield Front(state, 0, None), listener, clients
+
+
+# The same where no room was made until every request has to have its answer.
+async def test_requests_still_queued_when_the_time_of_a_shutdown_is_up_are_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    log = RecordingLog()
+    async with front_with_queue(monkeypatch, log) as (front, listener, clients):
         await front._empty_queue(listener)
         assert [(await client.answer()).target for client in clients] == ["503"] * 3
     assert log.find("refusing the connections still queued") is not None
 
 
+# Seen in a log of the soak: a process short of its core ended its shutdown while it still accepted.
+async def test_requests_still_queued_when_a_process_ends_are_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    log = RecordingLog()
+    async with front_with_queue(monkeypatch, log) as (front, listener, clients):
+        front.accepting, front.listener = True, listener
+        await front.end_all(lambda: None)
+        assert [(await client.answer()).target for client in clients] == ["503"] * 3
+    assert log.find("refusing the connections still queued") is not None
+
+
 # Found by reading: a request waited in the kernel's queue for as long as all connections were busy.
 async def test_a_request_queued_beyond_the_limit_is_answered_in_its_time(tmp_path: Path) -> None:
     async with node_with_busy_connections(tmp_path) as (_, port):
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -62,7 +62,8 @@
         self.connection_count = 0  # `connections`, and accepted sockets not yet among them
         self.is_open = False  # whether new connections are accepted
         self.accepting = False  # whether `run` accepts connections, or those that are still queued
-        self.accept_scope: anyio.CancelScope | None = None  # None until `run` is called
+        self.listener: socket.socket | None = None  # None until `run` is called
+        self.accept_scope: anyio.CancelScope | None = None  # the same
         self.accept_deadline = math.inf  # of `accept_scope`, on the event loop's clock
 
     async def run(self, listener: socket.socket) -> None:
@@ -71,6 +72,7 @@
         The queue of a shared socket is left to the process that stays, if there is one.
         """
         self.accepting, self.is_open = True, not self.server_state.draining
+        self.listener = listener
         with anyio.CancelScope(deadline=self.accept_deadline) as self.accept_scope:
             while True:
                 await self._wait_for_room()
@@ -264,6 +266,9 @@
 
     async def end_all(self, end_unanswered: Callable[[], None]) -> None:
         """Ends all connections, as the last act of the process; whatever has arrived is answered."""
+        if self.accepting and self.listener is not None and not self._leaves_queue:
+            self.server_state.log.warning("refusing the connections still queued")
+            await self._accept_queued(self.listener, refuse_all=True)
         end_unanswered()
         await anyio.sleep(0.0)  # the event loop sends these answers at the end of its turn
         for connection in list(self.connections):
