An operator's call that has arrived does not give way to another caller

Operators would see: with 24 callers at the second address, the oldest closed with its call unread.

Evidence: test_a_call_that_has_arrived_does_not_give_way_to_another failed before: the first of three, with its call in the kernel, was ended, not the second, which had sent nothing.

Why this works: the look at the kernel and the end are one step; where all 24 have a call that is unread, the new connection is closed unread instead, and its caller tries again.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -5,6 +5,8 @@
 import json
 import os
 import random
+import socket
+from contextlib import ExitStack
 from pathlib import Path
 
 import anyio
@@ -23,8 +25,8 @@
 from test_process import NODE_COMMAND
 
 from thornladder.interface import Entry, ListKind, State
-from thornladder.node.admin.calls import MAX_BODY_BYTES
-from thornladder.node.admin.server import AdminServer
+from thornladder.node.admin.calls import MAX_BODY_BYTES, AdminResponse
+from thornladder.node.admin.server import AdminConnection, AdminServer
 from thornladder.node.clients.front import Front
 from thornladder.node.handover import MaintenanceStore, StateFile
 from thornladder.node.maintenance import Maintenance, MaintenanceMark
@@ -208,6 +210,25 @@
         assert (await returned.ask("a4", "pay", body=b"x")).headers.get("connection") is None
 
 
+# Found by reading: the oldest connection gave way though its request had arrived, unread.
+async def test_a_call_that_has_arrived_does_not_give_way_to_another() -> None:
+    server = AdminServer(lambda _: AdminResponse(200, {}), None, None)
+    with ExitStack() as sockets:
+        callers = []
+        for _ in range(3):
+            caller, accepted = socket.socketpair()
+            callers.append(sockets.enter_context(caller))
+            sockets.enter_context(accepted)
+            server.connections[AdminConnection(accepted, {}, 4096)] = None
+        first, second, third = server.connections
+        callers[0].sendall(b"GET /status HTTP/1.1\r\n")
+        server._make_room()
+        assert list(server.connections) == [first, third]
+        assert callers[1].recv(1) == b""  # ended in the same step
+        callers[2].sendall(b"GET /status HTTP/1.1\r\n")
+        assert not server._make_room() and list(server.connections) == [first, third]
+
+
 # Unit tests of the maintenance marks.
 
 
--- a/thornladder/node/admin/server.py
+++ b/thornladder/node/admin/server.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import select
 import socket
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -28,6 +30,19 @@
         self.raw_socket, self.reader = raw_socket, RequestReader(extra_endpoints, max_body_bytes)
         self.scope = anyio.CancelScope()
 
+    def end_if_silent(self) -> bool:
+        """Ends the connection unless any byte of a request has arrived; returns whether it did.
+
+        The look and the end are one step, so that no request that has arrived is dropped.
+        """
+        poller = select.poll()
+        poller.register(self.raw_socket, select.POLLIN)
+        if self.reader.has_data or poller.poll(0):
+            return False
+        with suppress(OSError):  # the client has reset the connection
+            self.raw_socket.shutdown(socket.SHUT_RDWR)
+        return True
+
 
 class AdminServer:
     """Accepts connections and passes each request to a handler."""
@@ -63,21 +78,27 @@
                 await anyio.sleep(0.05)
                 continue
             raw_socket.setblocking(False)
-            if len(self.connections) >= self.MAX_CONNECTIONS:
-                self._make_room()
+            if len(self.connections) >= self.MAX_CONNECTIONS and not self._make_room():
+                raw_socket.close()  # unread: its client sees a reset and tries again
+                continue
             connection = AdminConnection(raw_socket, self.extra_endpoints, self.max_body_bytes)
             self.connections[connection] = None
             # The request has mostly arrived: a node short of CPU answers without a turn of the event loop.
             self.tasks.start("an admin connection", self._serve, connection)
 
-    def _make_room(self) -> None:
-        """Closes the oldest connection that sent nothing, else the oldest: silent ones lock nobody out."""
-        oldest = next(
-            (connection for connection in self.connections if not connection.reader.has_data),
-            next(iter(self.connections)),
-        )
+    def _make_room(self) -> bool:
+        """Ends the oldest connection that sent nothing, else the oldest with half a request.
+
+        Silent ones lock nobody out. Returns False if all have a request that is still unread.
+        """
+        oldest = next((connection for connection in self.connections if connection.end_if_silent()), None)
+        if oldest is None:
+            oldest = next((connection for connection in self.connections if connection.reader.has_data), None)
+        if oldest is None:
+            return False
         del self.connections[oldest]
         oldest.scope.cancel()
+        return True
 
     async def _serve(self, connection: AdminConnection) -> None:
         try:
