The list simulation's connections poll as open sockets again, so that it finds planted faults

Cause: not the node. rig/moments.MemoryStream has no socket and gave -1 for its descriptor. The sound schedules passed meanwhile for the same reason, so they showed less than they said.

Mend: the stand-in gives a descriptor that polls as its connection would: nothing unread, data unread, or -1 once it has ended. No test changed.

--- a/thornladder/rig/moments.py
+++ b/thornladder/rig/moments.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -65,6 +66,11 @@
         """Called when the near side closes the connection."""
 
 
+# Descriptors that stand for the socket of an open in-memory connection where the node polls it.
+_NOTHING_UNREAD_DESCRIPTOR = os.eventfd(0)
+_DATA_UNREAD_DESCRIPTOR = os.eventfd(1)
+
+
 class MemoryStream:
     """The near side of an in-memory connection, with the interface that `http1.UpstreamConnection` needs.
 
@@ -112,4 +118,7 @@
         return self
 
     def fileno(self) -> int:
-        return -1  # there is no socket
+        """A descriptor that polls as the connection's socket would: -1 once it has ended."""
+        if self.closed or self.reset_by_peer:
+            return -1
+        return _DATA_UNREAD_DESCRIPTOR if self.chunks else _NOTHING_UNREAD_DESCRIPTOR
