A connection that was made while the process got no CPU is not taken for timed out

Cause: anyio.fail_after round anyio.connect_tcp: the timer is due before the several turns in which the connection is taken.

Why this works: the socket itself is asked once the time is up; if the kernel has made the connection it is used. What follows (grace of drains, the client's time, its presence) is looked at after the wait, as before. The push's own time still ends the wait. A reset before the connection is seen, and EINTR of connect, count as what they are.

--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -11,7 +11,7 @@
 import h11
 from anyio.abc import SocketStream
 
-from thornladder.node import streams
+from thornladder.node import connecting, streams
 from thornladder.node.body_budget import BodyBudget
 from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe, limit_kernel_buffers
 from thornladder.node.messages import MAX_BUFFERED_BYTES, UpstreamRequest, UpstreamResponse
@@ -331,8 +331,7 @@
 async def connect(address: Address, timeout: float) -> UpstreamConnection | Failure:
     """Opens a connection within `timeout` seconds."""
     try:
-        with anyio.fail_after(timeout):
-            return UpstreamConnection(streams.limit_reads(await anyio.connect_tcp(*address)))
+        return UpstreamConnection(streams.limit_reads(await connecting.connect(address, timeout)))
     except OSError:  # includes TimeoutError
         return Failure(Stage.CONNECTING, Cause.NO_CONNECTION)
 
