An answer that begins before its large request is whole reaches its client whole

Callers saw (suspected by reading since the review, now shown): a connection ended amid a 200, once over 64 KiB of their request followed the beginning of the answer, or 2.6 s after they had paused in sending it.

Cause: while a large answer was streamed, nothing of its connection was processed, so the rest of the answered request piled up behind it until the limit on surplus bytes closed the connection; and the limit on slow requests cancelled the connection without regard to the answer on it.

Why this works: the rest of an answered request is read and dropped beside its answer too, which is what already happened beside small answers; other bytes are left alone as before.

--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -197,7 +197,7 @@
 
     def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
         """Ends requests and responses that take too long, and connections idle for over `idle_timeout` s."""
-        if self.upload is not None or self.discarding:
+        if self.upload is not None or (self.discarding and self.download is None):
             if self._upload_too_slow(now):
                 # Ends slow-loris uploads; only the time that this node waited for the client counts.
                 if self.exchange is None:
@@ -227,6 +227,12 @@
         waited = self.read_wait_seconds + (now - self.read_started_at if self.read_started_at else 0.0)
         return waited > self.RECEIVE_TIMEOUT_SECONDS + self.received_bytes / self.MIN_BODY_BYTES_PER_SECOND
 
+    def _restart_read_wait(self) -> None:
+        """Forgets how long this node has waited for data of the current request."""
+        self.read_wait_seconds = 0.0
+        if self.read_started_at:
+            self.read_started_at = self.server_state.clock()
+
     async def _read_loop(self) -> None:
         discarded = 0
         while True:
@@ -374,7 +380,10 @@
             return
         await self.stream.send(self.http.send(h11.EndOfMessage()) or b"")
         self.download, self.awaiting_client = None, True
-        self._start_next_cycle()
+        if self.discarding:
+            self._restart_read_wait()  # from now on the rest of the request has its usual time
+        else:
+            self._start_next_cycle()
 
     def _start_next_cycle(self) -> None:
         """Prepares the connection for the next request, or marks it as closing if it cannot be reused."""
@@ -384,8 +393,11 @@
             self.closing = True
 
     def _process_events(self) -> None:
-        """Processes received data until a request is complete or more data is needed."""
-        while not self.closing and self.download is None:
+        """Processes received data until a request is complete or more data is needed.
+
+        While a response is streamed, only the rest of its own request is processed, and dropped.
+        """
+        while not self.closing and (self.download is None or self.discarding):
             unparsed = self.http.trailing_data[0] if self.request is None else b""
             try:
                 event = self.http.next_event()
@@ -414,7 +426,8 @@
             elif isinstance(event, h11.EndOfMessage):
                 if self.discarding:
                     self.discarding = False
-                    self._start_next_cycle()
+                    if self.download is None:
+                        self._start_next_cycle()
                     self.write_event.set()
                 elif self.upload is not None:
                     self.upload.on_read_whole()
