A node whose folder cannot be written starts, and accepts its clients

Callers would see: a node that does not start (exit code 1) where the first write to its folder fails (full disk, I/O error); and where it fails a moment later, a node that listens and never accepts: connections are made by the kernel and their requests get no answer at all.

Cause: ProcessRegistry.announce was the one write of the folder whose OSError nobody handled: in Handover.join it ended the start, in _start_accepting it ended the task that opens the listener, which nothing restarts.

Evidence: test_a_node_starts_and_serves_though_nothing_can_be_written[ENOSPC, EIO], a real process whose pwrite, write_bytes and replace fail: both ran into the 30 s limit of readiness before, both pass now.

Why this works: the other processes of the node then see what this one told before, or that it is starting, which is what they see of one that has just begun; nothing that clients see depends on it. The error is logged once until a write succeeds.

--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,7 +1,8 @@
-"""Disks that are full, broken or slow, under a node's log: it serves on."""
+"""Disks that are full, broken or slow, under a node's state files and under its log: it serves on."""
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import json
 import os
@@ -14,13 +15,44 @@
 import pytest
 from harness import FakeServer, config, list_line, reply
 from test_process import connect
-from test_shutdown import NODE_COMMAND
-from test_start import free_port, wait_until_ready
+from test_shutdown import NODE_COMMAND, scripted_node
+from test_start import ask, free_port, wait_until_ready
 
 from thornladder.node.log_output import LogOutput
 
 pytestmark = pytest.mark.anyio
 
+# A node whose writes to files of state fail from the beginning.
+NODE_WITH_FAILING_WRITES = """
+import os, sys
+from pathlib import Path
+from thornladder.__main__ import main
+
+def fail(*_):
+    raise OSError({number}, os.strerror({number}))
+
+os.pwrite = Path.write_bytes = Path.replace = fail
+sys.exit(main())
+"""
+
+
+# Found by reading: where the first write to the folder failed a node did not start, or started and never
+# accepted, with its clients' connections waiting in the kernel.
+@pytest.mark.parametrize("error", ["ENOSPC", "EIO"])
+async def test_a_node_starts_and_serves_though_nothing_can_be_written(error: str, tmp_path: Path) -> None:
+    backend, port = FakeServer(lambda _: reply(200)), free_port()
+    script = NODE_WITH_FAILING_WRITES.format(number=getattr(errno, error))
+    async with anyio.create_task_group() as tasks:
+        await tasks.start(backend.serve)
+        document = config([list_line(0, backend.port)], free_port()) | {"listen": f"127.0.0.1:{port}"}
+        async with scripted_node(tmp_path, document, script) as process:
+            await wait_until_ready(port)
+            assert (await ask(port)).target == "200"
+            process.terminate()
+            assert await process.wait() == 0
+        tasks.cancel_scope.cancel()
+
+
 @contextmanager
 def full_pipe() -> Iterator[tuple[int, int]]:
     """A pipe that takes no more bytes: its reading and its writing end."""
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -197,6 +197,7 @@
         self.phase = Phase.STARTING
         self.other_processes: list[ProcessStatus] = []
         self.descriptors_used = 0
+        self.announcing_failed = False  # at the last try
         # Limits of the whole node: client connections, backend connections, bytes for streamed bodies.
         self.node_limits: tuple[int, int, int] | None = None
         self.node_count: int | None = None  # reported by an extension; None: as in the settings
@@ -205,7 +206,7 @@
 
     def join(self, now: float) -> Maintenance:
         """Registers this process and returns the stored maintenance state; `now`: Unix time in seconds."""
-        self.registry.announce(self.phase, self.descriptors_used)
+        self._announce()
         self.other_processes = self.registry.others()
         maintenance = Maintenance(self.maintenance_store.load())
         self.learned = self.learned_store.load(now)
@@ -214,6 +215,17 @@
             self.log.warning("ignoring the state files of another deployment in this folder")
         return maintenance
 
+    def _announce(self) -> None:
+        """Tells the other processes about this one; where that fails they see what it told before."""
+        try:
+            self.registry.announce(self.phase, self.descriptors_used)
+        except OSError as error:
+            if not self.announcing_failed:
+                self.log.warning("the state of this process could not be written", error=repr(error))
+            self.announcing_failed = True
+        else:
+            self.announcing_failed = False
+
     async def run(self, host: NodeHost, front: Front, pool: Pool, body_budget: BodyBudget) -> None:
         """Synchronizes with the other processes and divides the limits, for as long as the node runs."""
         # Recorded once: this task restarts after an error, and the current limits may be divided by then.
@@ -270,7 +282,7 @@
 
     def sync(self, host: NodeHost) -> None:
         """Announces this process and applies changes of the others' state and of the maintenance marks."""
-        self.registry.announce(self.phase, self.descriptors_used)
+        self._announce()
         other_processes = self.registry.others()
         phases = [other.phase for other in other_processes]
         if phases != [other.phase for other in self.other_processes]:
