A request read from a connection that is never served is refused

Cause: Front._serve handled errors of the hand-over and not its cancellation, which the end of the process is; the socket went with the request in a variable.

Evidence: test_a_request_read_from_a_connection_that_is_never_served_is_refused: no answer within 5 s before, 503 three times now.

Why this works: whatever prevents the hand-over, the request is refused and the socket closed in the same step; nothing of it has run.

--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -20,6 +20,7 @@
 from thornladder.node.clients.front import Front
 from thornladder.node.clients.server_state import ServerState
 from thornladder.node.shutdown import ShutdownSchedule
+from thornladder.node.tasks import Tasks
 
 pytestmark = pytest.mark.anyio
 DESCRIPTORS = 40  # of a node that holds at most MAX_CLIENTS connections of clients
@@ -105,6 +106,27 @@
     assert log.find("refusing the connections still queued") is not None
 
 
+# Found by reading: a connection that was accepted in the last turns of a process was cancelled before it was
+# served, with a request that had been read, and ended without an answer.
+async def test_a_request_read_from_a_connection_that_is_never_served_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def wait_forever(_: socket.socket) -> None:
+        await anyio.sleep_forever()
+
+    monkeypatch.setattr("thornladder.node.clients.front.SocketStream.from_socket", wait_forever)
+    log = RecordingLog()
+    async with front_with_queue(monkeypatch, log) as (front, listener, clients):
+        front.max_connections = len(clients) + 1
+        async with anyio.create_task_group() as group:
+            front.tasks = Tasks(group, log)
+            assert await front._accept_queued(listener)
+            await anyio.sleep(0.0)
+            group.cancel_scope.cancel()
+        assert [(await client.answer()).target for client in clients] == ["503"] * 3
+        assert front.connection_count == 0
+
+
 # Found by reading: a request waited in the kernel's queue for as long as all connections were busy.
 async def test_a_request_queued_beyond_the_limit_is_answered_in_its_time(tmp_path: Path) -> None:
     async with node_with_busy_connections(tmp_path) as (_, port):
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -212,7 +212,7 @@
 
     async def _serve(self, client_socket: socket.socket, initial_data: bytes, unread_seconds: float) -> None:
         try:
-            stream = streams.limit_reads(await SocketStream.from_socket(client_socket))
+            stream = await self._set_up(client_socket, initial_data)
             connection = ClientConnection(stream, self.server_state, initial_data, unread_seconds)
             self.connections.add(connection)
             try:
@@ -220,13 +220,18 @@
             finally:
                 self.connections.discard(connection)
         except (OSError, ValueError):
-            self._close_unserved(client_socket, initial_data)  # mostly since the client has closed it
-        except Exception:
-            self._close_unserved(client_socket, initial_data)
-            raise
+            pass  # mostly since the client has closed the connection
         finally:
             self.connection_count -= 1
 
+    async def _set_up(self, client_socket: socket.socket, initial_data: bytes) -> SocketStream:
+        """Hands an accepted socket to the event loop; whatever prevents that, its request is refused."""
+        try:
+            return streams.limit_reads(await SocketStream.from_socket(client_socket))
+        except BaseException:  # among others the end of the process
+            self._close_unserved(client_socket, initial_data)
+            raise
+
     def _close_unserved(self, client_socket: socket.socket, initial_data: bytes) -> None:
         """Closes a connection that could not be set up; what was read of a request is refused."""
         if initial_data:
