Soak: nodes behind faulty networks, with answers that are large, cut or early

Holds, restarts and clients are as before.

The mode RESET of the backends still closes without an answer, as it did.

--- a/Makefile
+++ b/Makefile
@@ -47,11 +47,12 @@
 measure-rollout: .venv-dev/done
 	.venv-dev/bin/python -m thornladder.measures.rollout $(if $(FULL),--full)
 
-# Some eight minutes: 50 seeds of real processes that are shut down, and 50 of nodes in service. SEEDS and FIRST
-# choose others.
+# Some twelve minutes: 50 seeds of real processes that are shut down, 50 of nodes in service, and 50 behind faulty
+# networks. SEEDS and FIRST choose others.
 soak: .venv-dev/done
 	.venv-dev/bin/python -m thornladder.measures.soak --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
 	.venv-dev/bin/python -m thornladder.measures.soak --kind service --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
+	.venv-dev/bin/python -m thornladder.measures.soak --kind network --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
 
 clean:
 	rm -rf .venv .venv-dev
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,8 +14,10 @@
 from harness import wait_until
 
 from thornladder.rig.soak.backend import FaultyBackend
+from thornladder.rig.soak.network_plan import draw_network_plan
 from thornladder.rig.soak.plan import (
     Action,
+    Answers,
     BackendMode,
     Hold,
     ModeChange,
@@ -25,6 +27,7 @@
     draw_plan,
 )
 from thornladder.rig.soak.play import NODE_COMMAND, Soak
+from thornladder.rig.soak.records import Attempt, End, ProcessRecord, RequestRecord, SoakRecords
 from thornladder.rig.soak.service_plan import draw_service_plan
 
 pytestmark = pytest.mark.anyio
@@ -119,6 +122,70 @@
     assert records.violations() == []
 
 
+# The same behind faulty links, with answers that are large, cut or early, and with changes of the list.
+async def test_no_request_is_lost_behind_a_faulty_network(tmp_path: Path) -> None:
+    records = await Soak(draw_network_plan(135), tmp_path).play()
+    assert records.requests and records.processes
+    assert records.violations() == []
+
+
+# A node that leaves the rest of a request unread while its answer is under way, up to 64 KiB.
+NODE_THAT_CUTS_EARLY_ANSWERS = """
+import sys
+from thornladder.__main__ import main
+from thornladder.node.clients.connection import ClientConnection
+
+process_events = ClientConnection._process_events
+ClientConnection._process_events = lambda connection: connection.download or process_events(connection)
+sys.exit(main())
+"""
+
+
+def early_answers_plan() -> SoakPlan:
+    """One node, whose backends answer large requests before these have come whole, with large answers."""
+    early = (ModeChange(0.0, BackendMode.EARLY),)
+    return replace(
+        draw_plan(4),
+        longest_deadline=3.0,
+        shutdowns=((Shutdown(3.0, True, (Action(0.0, Step.TERMINATE),)),),),
+        backends=(early,) * 4,
+        clients_per_node=10,
+        crowd=0,
+        descriptors=256,
+        answers=Answers(large_share=1.0),
+        large_upload_share=0.6,
+    )
+
+
+@pytest.mark.parametrize("planted", [False, True])
+async def test_the_soak_finds_early_answers_that_are_cut(planted: bool, tmp_path: Path) -> None:
+    command = [sys.executable, "-B", "-c", NODE_THAT_CUTS_EARLY_ANSWERS] if planted else NODE_COMMAND
+    records = await Soak(early_answers_plan(), tmp_path, command).play()
+    assert any("cut without a whole answer" in violation for violation in records.violations()) is planted
+    assert planted or records.violations() == []
+
+
+@pytest.mark.parametrize(
+    "ended_at, signalled_at, answer_cut, allowed",
+    [
+        (2.5, 9.0, False, False),  # by a node in service
+        (2.5, 9.0, True, True),  # by its backend
+        (2.5, 1.5, False, True),  # by a process at its end, past the client's time
+        (1.9, 1.5, False, False),  # the same in the client's time
+        (4.5, 1.5, False, False),  # by nothing that the records know of
+    ],
+)
+def test_which_cut_answers_count_as_lost(
+    ended_at: float, signalled_at: float, answer_cut: bool, allowed: bool
+) -> None:
+    records = SoakRecords()
+    request = RequestRecord("a", "look", 0, 1.0, True, sent_at=1.0, ended_at=ended_at, end=End.CUT)
+    records.requests.append(request)
+    records.attempts["a"] = [Attempt(1.1, "look", 0, 0.0, answer_cut=answer_cut)]
+    records.processes.append(ProcessRecord(0, signalled_at, 1.7, 1.5, False, 0.0, 0, True))
+    assert (records.violations() == []) is allowed
+
+
 def hanging_plan() -> SoakPlan:
     """Two nodes that are told to end while every backend hangs."""
     hanging = (ModeChange(0.0, BackendMode.HANG),)
--- a/thornladder/rig/standins.py
+++ b/thornladder/rig/standins.py
@@ -57,22 +57,34 @@
 
         Raises EndOfStream if the peer has closed between messages, and h11's errors for a malformed message.
         """
-        head, body = None, b""
+        head = await self.receive_head()
+        return head, await self.receive_body()
+
+    async def receive_head(self) -> Any:
+        """Receives the head of a message. Raises the same as `receive`."""
+        while True:
+            event = self.protocol.next_event()
+            if event is h11.NEED_DATA:
+                self.protocol.receive_data(await self.stream.receive())
+            elif isinstance(event, (h11.Request, h11.Response)):
+                return event
+            elif isinstance(event, h11.ConnectionClosed):
+                raise anyio.EndOfStream
+
+    async def receive_body(self) -> bytes:
+        """Receives the body of the message whose head was received. Raises the same as `receive`."""
+        body = b""
         while True:
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
                 try:
                     self.protocol.receive_data(await self.stream.receive())
                 except anyio.EndOfStream:
-                    if head is None:
-                        raise
                     self.protocol.receive_data(b"")
-            elif isinstance(event, (h11.Request, h11.Response)):
-                head = event
             elif isinstance(event, h11.Data):
                 body += bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
-                return head, body
+                return body
             elif isinstance(event, h11.ConnectionClosed):
                 raise anyio.EndOfStream
 
