Of two processes that leave together at least one accepts what is queued

Callers would see: requests on new connections reset, where both processes of a node (amid an upgrade) are told to end within 0.2 s of each other.

Cause: a process told the others that it was leaving only at its next synchronisation, up to 0.2 s after it had looked whether another one serves. Each saw the other serving, and left the queue of their socket to it.

Why this works: it is written before the others are looked at, so whoever looks second sees the first leave.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -137,6 +137,26 @@
         assert await process.wait() == 0
 
 
+# Found by reading: two processes that were told to end within the same moment each took the other for the one
+# that stays, and left the queue of their socket to it.
+async def test_two_processes_that_end_together_leave_no_request_queued(tmp_path: Path) -> None:
+    async with NodeProcesses(tmp_path, done) as processes:
+        running = []
+        for _ in range(2):
+            process, admin = await processes.run()
+            await processes.wait_ready(admin)
+            running.append(process)
+        for process in running:
+            process.send_signal(signal.SIGTERM)
+        answers = []
+        for number in range(8):  # clients go on connecting for 0.2 to 0.4 s
+            client = await processes.client()
+            answers.append((await client.ask(f"late{number}", "look")).target)
+            await anyio.sleep(0.03)
+        assert answers == ["200"] * 8
+        assert [await process.wait() for process in running] == [0, 0]
+
+
 async def test_three_consecutive_upgrades_under_load_lose_no_invocation(tmp_path: Path) -> None:
     answered: Counter[str] = Counter()
     stopped = anyio.Event()
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -256,8 +256,12 @@
             await anyio.sleep(self.SYNC_SECONDS)
 
     def announce_leaving(self, front: Front) -> None:
-        """Marks this process as leaving, and records whether another process of the node serves on."""
+        """Marks this process as leaving, and records whether another process of the node serves on.
+
+        It tells the others before it looks at them: of two that leave together at least one knows of both.
+        """
         self.phase = Phase.LEAVING
+        self._announce()
         front.server_state.has_successor = front.listener_is_shared and any(
             other.phase is Phase.SERVING for other in self.registry.others()
         )
