--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,6 +15,7 @@
 
 from thornladder.rig.soak.backend import FaultyBackend
 from thornladder.rig.soak.network_plan import draw_network_plan
+from thornladder.rig.soak.node import NODE_COMMAND
 from thornladder.rig.soak.plan import (
     Action,
     Answers,
@@ -26,7 +27,7 @@
     Step,
     draw_plan,
 )
-from thornladder.rig.soak.play import NODE_COMMAND, Soak
+from thornladder.rig.soak.play import Soak
 from thornladder.rig.soak.records import Attempt, End, ProcessRecord, RequestRecord, SoakRecords
 from thornladder.rig.soak.service_plan import draw_service_plan
 
