Soak: upgrades, with two processes of a node at one listening socket

A fourth kind: processes of a node follow one another at a socket that the platform holds; some are ended amid their start, half of the nodes are told to end amid an upgrade, both processes at once or nearly, with signals in series, holds and faulty backends.

--- a/thornladder/measures/soak.py
+++ b/thornladder/measures/soak.py
@@ -1,10 +1,12 @@
 """`make soak`: seeded faults on real node processes, with clients that hold every answer against the rules.
 
-Three kinds. Shutdowns: a fleet of 2 to 8 nodes under signals in series, faulty backends, for some a crowd of
+Four kinds. Shutdowns: a fleet of 2 to 8 nodes under signals in series, faulty backends, for some a crowd of
 idle connections (`rig/soak/plan.py`); clients send on all that is open until SIGKILL, at the platform's
 earliest. Service: clients that rest on kept connections, one node that has all of them while the others are
 in standby, hold-ups, restarts (`rig/soak/service_plan.py`). Network: faulty links to backends and discovery,
 answers that are large, cut or early, large requests, changes of the list (`rig/soak/network_plan.py`).
+Upgrade: two processes of a node at one listening socket, some ended amid their start or both together
+(`rig/soak/upgrade_plan.py`).
 
 Every request has to get one whole answer in time, or to be left unread on a connection that had been used and
 whose end crossed it; a once-only one runs once at most; every process has to end by itself.
@@ -29,8 +31,14 @@
 from thornladder.rig.soak.plan import draw_plan
 from thornladder.rig.soak.play import Soak
 from thornladder.rig.soak.service_plan import draw_service_plan
-
-DRAW_PLAN = {"shutdown": draw_plan, "service": draw_service_plan, "network": draw_network_plan}
+from thornladder.rig.soak.upgrade_plan import draw_upgrade_plan
+
+DRAW_PLAN = {
+    "shutdown": draw_plan,
+    "service": draw_service_plan,
+    "network": draw_network_plan,
+    "upgrade": draw_upgrade_plan,
+}
 
 
 class SoakResult(NamedTuple):
--- a/thornladder/rig/soak/node.py
+++ b/thornladder/rig/soak/node.py
@@ -98,13 +98,26 @@
 class SoakNode:
     """One node of the fleet: its files, its process, its clients."""
 
-    def __init__(self, soak: Fleet, number: int, shutdowns: Sequence[Shutdown]) -> None:
+    def __init__(
+        self,
+        soak: Fleet,
+        number: int,
+        shutdowns: Sequence[Shutdown],
+        process_name: str = "",
+        listener: socket.socket | None = None,
+    ) -> None:
+        """`listener`: the clients' socket, where the node's processes inherit it.
+
+        `process_name`: where there are several processes at a time, each has an object and a folder.
+        """
         self.soak, self.number, self.shutdowns = soak, number, shutdowns
-        self.rng = Random(f"{soak.plan.seed} node {number}")
-        self.folder = soak.folder / f"node-{number}"
+        self.rng = Random(f"{soak.plan.seed} node {number}{process_name}")
+        self.state_folder = soak.folder / f"node-{number}"
+        self.folder = self.state_folder / process_name
         self.folder.mkdir(parents=True)
         host = soak.host(number, 1)
-        self.address = (host, free_port(host))
+        self.listener = listener
+        self.address = listener.getsockname() if listener else (host, free_port(host))
         self.admin_address = (host, free_port(host))
         self.longest_deadline = soak.plan.longest_deadline
         self.process: subprocess.Popen | None = None
@@ -128,7 +141,7 @@
 
     def connectable(self) -> bool:
         """Whether the front still sends new connections to this node."""
-        return self.soak.now() < self.connect_until
+        return self.process is not None and self.soak.now() < self.connect_until
 
     def waited_seconds(self) -> float:
         """Seconds for which the node's present or last process has waited for a processor."""
@@ -145,12 +158,12 @@
         """Starts and shuts down one process after the other."""
         try:
             for shutdown in self.shutdowns:
-                self._start()
+                self.start()
                 if shutdown.await_readiness:
                     await self._wait_until_ready()
                 self.connect_until, self.in_service = math.inf, shutdown.await_readiness
                 await anyio.sleep(shutdown.serving_seconds)
-                await self._shut_down(shutdown)
+                await self.shut_down(shutdown)
         finally:
             self.done = True
             if self.process is not None:
@@ -164,23 +177,27 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.soak.plan.descriptors},
             "settings": settings_with(self.longest_deadline), "known": self.soak.discovery.full_list(),
         }  # fmt: skip
-        if self.soak.plan.standbys:
+        if self.soak.plan.standbys or self.listener:
             document["admin_addr"] = f"{self.admin_address[0]}:{self.admin_address[1]}"
         path = self.folder / "config.json.new"
         path.write_text(json.dumps(document))
         path.replace(self.folder / "config.json")
 
-    def _start(self) -> None:
+    def start(self) -> None:
+        """Starts a process."""
         self._write_config()
         environment = {
-            **os.environ, "EDGE_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.folder),
+            **os.environ, "EDGE_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.state_folder),
         }  # fmt: skip
+        if self.listener is not None:
+            environment["EDGE_INHERITED_FD"] = str(self.listener.fileno())
         with self.log_path.open("wb") as log:
             self.process = subprocess.Popen(
                 self.soak.command,
                 env=environment,
                 stderr=log,
                 preexec_fn=prepare_process,
+                pass_fds=[self.listener.fileno()] if self.listener else (),
             )
 
     async def _wait_until_ready(self) -> None:
@@ -188,6 +205,12 @@
             while b'"serving"' not in self.log_path.read_bytes():
                 await anyio.sleep(0.01)
 
+    async def wait_until_active(self) -> None:
+        """Waits until the process says that it serves, beside another one of its node."""
+        with anyio.fail_after(READY_SECONDS):
+            while not await self._call("/status", "GET"):
+                await anyio.sleep(0.01)
+
     async def stand_by(self, standby: Standby) -> None:
         """Puts the process into standby for a while, unless it is to end first."""
         await anyio.sleep(standby.at)
@@ -199,9 +222,9 @@
         if await self._call("/active") and process is self.process and self.in_service:
             self.connect_until = math.inf
 
-    async def _call(self, path: str) -> bool:
+    async def _call(self, path: str, method: str = "POST") -> bool:
         """Makes an operator's call; returns whether it was carried out."""
-        request = f"POST {path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n".encode()
+        request = f"{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n".encode()
         try:
             with anyio.fail_after(ADMIN_SECONDS):
                 async with await anyio.connect_tcp(*self.admin_address) as stream:
@@ -219,7 +242,8 @@
             await anyio.sleep(hold.seconds)
             process.send_signal(signal.SIGCONT)
 
-    async def _shut_down(self, shutdown: Shutdown) -> None:
+    async def shut_down(self, shutdown: Shutdown) -> None:
+        """Gives the process its signals, and records how it ended."""
         assert self.process is not None
         signalled_at = kill_after = lag_before = waited_before = 0.0
         started_serving = b'"serving"' in self.log_path.read_bytes()
--- a/thornladder/rig/soak/plan.py
+++ b/thornladder/rig/soak/plan.py
@@ -134,6 +134,7 @@
     clients_per_node: int
     crowd: int  # connections to each node that send nothing
     descriptors: int  # limit of each node
+    are_upgrades: bool = False  # whether the processes of a node overlap, at one listening socket
     resting_clients: int = 0  # of the whole fleet: they keep connections and rest between requests
     standbys: tuple[Standby, ...] = ()
     holds: tuple[Hold, ...] = ()
--- a/thornladder/rig/soak/play.py
+++ b/thornladder/rig/soak/play.py
@@ -20,6 +20,7 @@
     SoakPlan,
 )
 from thornladder.rig.soak.records import SoakRecords
+from thornladder.rig.soak.upgrade import UpgradedNode
 from thornladder.rig.standins import DiscoveryServer, HttpServer
 from thornladder.settings import Address
 
@@ -33,7 +34,7 @@
         self.lag = MachineLag()
         self.discovery = DiscoveryServer()
         self.records = SoakRecords(once_only=ONCE_ONLY, crowded=plan.crowd > 0)
-        self.nodes: list[SoakNode] = []
+        self.nodes: list[SoakNode | UpgradedNode] = []
         # Where nodes reach the servers: mostly at links before them.
         self.backend_addresses: list[Address] = []
         self.discovery_address: Address
@@ -69,7 +70,8 @@
             self.started_at = time.monotonic()
             async with anyio.create_task_group() as tasks:
                 for number, shutdowns in enumerate(self.plan.shutdowns):
-                    self.nodes.append(SoakNode(self, number, shutdowns))
+                    node_type = UpgradedNode if self.plan.are_upgrades else SoakNode
+                    self.nodes.append(node_type(self, number, shutdowns))
                     self._start_node(tasks, self.nodes[-1])
                 tasks.start_soon(self._run_service, tasks)
                 group.start_soon(self._change_list)
@@ -99,7 +101,7 @@
             host, port = self.backend_addresses[change.backend]
             self.discovery.update(f"s{change.backend}", port, "x", 0.0, change.lifecycle, host)
 
-    def _start_node(self, group: anyio.abc.TaskGroup, node: SoakNode) -> None:
+    def _start_node(self, group: anyio.abc.TaskGroup, node: SoakNode | UpgradedNode) -> None:
         group.start_soon(node.run)
         group.start_soon(node.sample_waits)
         for number in range(self.plan.clients_per_node):
@@ -131,12 +133,12 @@
         for hold in self.plan.holds:
             tasks.start_soon(self.nodes[hold.node].hold, hold)
 
-    def _choose_node(self, rng: Random) -> SoakNode | None:
+    def _choose_node(self, rng: Random) -> SoakNode | UpgradedNode | None:
         """Deals out connections as the platform's front does, over the nodes that it takes for ready."""
-        ready = [node for node in self.nodes if node.connectable() and node.process is not None]
+        ready = [node for node in self.nodes if node.connectable()]
         return rng.choice(ready) if ready else None
 
-    async def _run_crowd(self, node: SoakNode) -> None:
+    async def _run_crowd(self, node: SoakNode | UpgradedNode) -> None:
         """Keeps connections open on which nothing is sent, and opens new ones for those that end."""
         crowd: list[RawConnection] = []
         try:
