--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,6 +30,7 @@
 from thornladder.rig.soak.play import Soak
 from thornladder.rig.soak.records import Attempt, End, ProcessRecord, RequestRecord, SoakRecords
 from thornladder.rig.soak.service_plan import draw_service_plan
+from thornladder.rig.soak.upgrade_plan import draw_upgrade_plan
 
 pytestmark = pytest.mark.anyio
 
@@ -166,6 +167,14 @@
     assert planted or records.violations() == []
 
 
+# Two processes of a node at one listening socket. In seed 0 both are told to end at once, and each left the
+# queue of the socket to the other.
+async def test_no_request_is_lost_in_an_upgrade(tmp_path: Path) -> None:
+    records = await Soak(draw_upgrade_plan(0), tmp_path).play()
+    assert records.requests and len(records.processes) > 2
+    assert records.violations() == []
+
+
 @pytest.mark.parametrize(
     "ended_at, signalled_at, answer_cut, allowed",
     [
--- a/thornladder/rig/soak/backend.py
+++ b/thornladder/rig/soak/backend.py
@@ -9,7 +9,7 @@
 
 import anyio
 import h11
-from anyio.abc import SocketStream, TaskStatus
+from anyio.abc import SocketStream, TaskGroup, TaskStatus
 
 from thornladder.node import streams
 from thornladder.rig.soak.clock import SoakClock
@@ -18,6 +18,7 @@
 from thornladder.rig.standins import REJECTED_HEADERS, HttpConnection, HttpServer
 
 SLOW_SECONDS = 0.25
+LISTEN_AGAIN_SECONDS, LISTEN_POLL_SECONDS = 2.0, 0.02
 LARGE_ANSWER_BYTES = 300_000  # more than a node buffers
 LARGE_REQUEST_BYTES = 64 * 1024  # longer ones are streamed by the node
 
@@ -48,10 +49,23 @@
             for change in self.changes:
                 await anyio.sleep(max(change.at - self.clock.now(), 0.0))
                 if self.mode is BackendMode.DEAD and change.mode is not BackendMode.DEAD:
-                    await group.start(self.serve)
+                    await self._listen_again(group)
                 self.mode = change.mode
                 if self.mode is BackendMode.DEAD and self.cancel_scope is not None:
                     self.cancel_scope.cancel()
+                    await self.stopped.wait()
+
+    async def _listen_again(self, group: TaskGroup) -> None:
+        """Opens the port anew; on a machine that is late it may still be in use for a moment."""
+        deadline = anyio.current_time() + LISTEN_AGAIN_SECONDS
+        while True:
+            try:
+                await group.start(self.serve)
+                return
+            except OSError:
+                if anyio.current_time() > deadline:
+                    raise
+                await anyio.sleep(LISTEN_POLL_SECONDS)
 
     async def _serve_connection(self, stream: SocketStream) -> None:
         connection = HttpConnection(stream, h11.SERVER)
--- a/thornladder/rig/standins.py
+++ b/thornladder/rig/standins.py
@@ -109,15 +109,18 @@
     def __init__(self, host: str = "127.0.0.1") -> None:
         self.host, self.port = host, 0
         self.cancel_scope: anyio.CancelScope | None = None  # of `serve`
+        self.stopped = anyio.Event()  # set once `serve` has closed its socket; replaced when it is called
 
     async def serve(self, *, task_status: TaskStatus = anyio.TASK_STATUS_IGNORED) -> None:
         """Serves until `cancel_scope` is cancelled. Keeps its port when it is called again."""
+        self.stopped = anyio.Event()
         with anyio.CancelScope() as self.cancel_scope:
             listener = await anyio.create_tcp_listener(local_host=self.host, local_port=self.port)
             self.port = listener.extra(anyio.abc.SocketAttribute.local_port)
             task_status.started()
             async with listener:
                 await listener.serve(self._serve_connection)
+        self.stopped.set()
 
     async def _serve_connection(self, stream: SocketStream) -> None:
         connection = HttpConnection(stream, h11.SERVER)
