--- a/tests/harness.py
+++ b/tests/harness.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import json
+import os
+import subprocess
+import sys
 import tempfile
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
-from typing import Any
+from pathlib import Path
+from typing import IO, Any
 
 import anyio
 import anyio.abc
@@ -336,6 +340,36 @@
         self.closed += 1
 
 
+NODE_COMMAND = (sys.executable, "-B", "-m", "thornladder")
+
+
+def script_command(script: str) -> tuple[str, ...]:
+    """The command that runs a Python script, as one that starts a node with faults of its own."""
+    return (sys.executable, "-B", "-c", script)
+
+
+@asynccontextmanager
+async def node_process(
+    folder: Path,
+    document: dict[str, Any],
+    command: Sequence[str] = NODE_COMMAND,
+    stderr: int | IO[Any] = subprocess.PIPE,
+) -> AsyncIterator[anyio.abc.Process]:
+    """Runs a node, or a script in its place, with this configuration file in a process of its own."""
+    path = folder / "config.json"
+    path.write_text(json.dumps(document))
+    environment = {**os.environ, "TMPDIR": str(folder), "EDGE_CONFIG": str(path)}
+    process = await anyio.open_process(command, env=environment, stderr=stderr)
+    try:
+        yield process
+    finally:
+        # Shielded, or a failed assertion would be lost in a cancelled scope.
+        with anyio.CancelScope(shield=True):
+            if process.returncode is None:
+                process.kill()
+            await process.aclose()
+
+
 READY_REQUEST = b"GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -13,9 +13,8 @@
 
 import anyio
 import pytest
-from harness import FakeServer, config, list_line, reply
+from harness import FakeServer, config, list_line, node_process, reply, script_command
 from test_process import connect
-from test_shutdown import NODE_COMMAND, scripted_node
 from test_start import ask, free_port, wait_until_ready
 
 from thornladder.node.log_output import LogOutput
@@ -45,7 +44,7 @@
     async with anyio.create_task_group() as tasks:
         await tasks.start(backend.serve)
         document = config([list_line(0, backend.port)], free_port()) | {"listen": f"127.0.0.1:{port}"}
-        async with scripted_node(tmp_path, document, script) as process:
+        async with node_process(tmp_path, document, script_command(script)) as process:
             await wait_until_ready(port)
             assert (await ask(port)).target == "200"
             process.terminate()
@@ -73,15 +72,11 @@
 # Found by reading: a reader of the log that does not read stopped the node in the middle of a log line.
 async def test_a_log_that_nobody_reads_holds_up_no_request(tmp_path: Path) -> None:
     backend, port = FakeServer(lambda _: reply(200)), free_port()
-    path = tmp_path / "config.json"
     async with anyio.create_task_group() as tasks:
         await tasks.start(backend.serve)
         document = config([list_line(0, backend.port)], free_port()) | {"listen": f"127.0.0.1:{port}"}
-        path.write_text(json.dumps(document))
-        environment = {**os.environ, "TMPDIR": str(tmp_path), "EDGE_CONFIG": str(path)}
         with full_pipe() as (_, writing):
-            process = await anyio.open_process(NODE_COMMAND, env=environment, stderr=writing)
-            async with process:
+            async with node_process(tmp_path, document, stderr=writing) as process:
                 await wait_until_ready(port)
                 client = await connect(port)
                 assert (await client.ask("a", "look")).target == "200"
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -12,6 +12,7 @@
 import anyio
 import pytest
 from harness import (
+    NODE_COMMAND,
     READY_REQUEST,
     LoopbackCluster,
     ReceivedMessage,
@@ -22,7 +23,6 @@
     reply,
     wait_until,
 )
-from test_process import NODE_COMMAND
 
 from thornladder.interface import Entry, ListKind, State
 from thornladder.node.admin.calls import MAX_BODY_BYTES, AdminResponse
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,13 +6,13 @@
 import os
 import signal
 import subprocess
-import sys
 from contextlib import asynccontextmanager
 from pathlib import Path
 
 import anyio
 import pytest
 from harness import (
+    NODE_COMMAND,
     READY_REQUEST,
     SETTINGS,
     Client,
@@ -22,12 +22,12 @@
     config,
     list_line,
     list_reply,
+    node_process,
     reply,
     wait_until,
 )
 
 pytestmark = pytest.mark.anyio
-NODE_COMMAND = [sys.executable, "-B", "-m", "thornladder"]
 
 
 @asynccontextmanager
@@ -38,22 +38,13 @@
         for peer in (*backends, discovery):
             await tasks.start(peer.serve)
         instances = [list_line(number, peer.port) for number, peer in enumerate(backends)]
-        path = folder / "config.json"
-        path.write_text(json.dumps(config(instances, discovery.port, sockets, info=info)))
-        environment = {**os.environ, "TMPDIR": str(path.parent), "EDGE_CONFIG": str(path)}
-        process = await anyio.open_process(NODE_COMMAND, env=environment, stderr=subprocess.PIPE)
-        try:
+        document = config(instances, discovery.port, sockets, info=info)
+        async with node_process(folder, document) as process:
             output = b""
             while b"\n" not in output:
                 output += await process.stderr.receive()
             yield process, json.loads(output.split(b"\n")[0])["listen"][1]
-        finally:
-            # Shielded, or a failed assertion would be lost in a cancelled scope.
-            with anyio.CancelScope(shield=True):
-                if process.returncode is None:
-                    process.kill()
-                await process.aclose()
-            tasks.cancel_scope.cancel()
+        tasks.cancel_scope.cancel()
 
 
 async def connect(port: int) -> Client:
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import copy
-import json
-import os
 import signal
 import socket
-import sys
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager, suppress
+from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import replace
 from pathlib import Path
 from types import SimpleNamespace
@@ -17,7 +14,7 @@
 
 import anyio
 import pytest
-from anyio.abc import Process, SocketAttribute
+from anyio.abc import SocketAttribute
 from harness import (
     OFFERINGS,
     SETTINGS,
@@ -27,11 +24,13 @@
     RecordingLog,
     config,
     list_line,
+    node_process,
     reply,
+    script_command,
     wait_until,
 )
 from test_end_crossings import GatedBackend
-from test_process import NODE_COMMAND, connect, running_node
+from test_process import connect, running_node
 from test_start import free_port, wait_until_ready
 
 from thornladder.interface import Offering
@@ -127,22 +126,6 @@
         assert len(refused) + len(answers) == 16 and set(answers) <= {"200", "502", "503"}
 
 
-@asynccontextmanager
-async def scripted_node(folder: Path, document: dict[str, Any], script: str) -> AsyncIterator[Process]:
-    """Runs a Python script with this configuration file in a process of its own."""
-    path = folder / "config.json"
-    path.write_text(json.dumps(document))
-    environment = {**os.environ, "TMPDIR": str(folder), "EDGE_CONFIG": str(path)}
-    process = await anyio.open_process([sys.executable, "-B", "-c", script], env=environment)
-    try:
-        yield process
-    finally:
-        with anyio.CancelScope(shield=True):
-            if process.returncode is None:
-                process.kill()
-            await process.aclose()
-
-
 @pytest.fixture
 def connections(monkeypatch: pytest.MonkeyPatch) -> list[ClientConnection]:
     """The client connections of nodes in this process, in the order in which they were accepted."""
@@ -203,7 +186,7 @@
         await tasks.start(backend.serve)
         document = config([list_line(0, backend.port)], free_port())
         document["listen"] = f"127.0.0.1:{free_port()}"
-        async with scripted_node(tmp_path, document, LISTEN_THEN_SIGNAL) as process:
+        async with node_process(tmp_path, document, script_command(LISTEN_THEN_SIGNAL)) as process:
             assert (await process.stdout.receive()).strip() == b"listening"
             client = await connect(int(document["listen"].rpartition(":")[2]))
             await client.send("early", "look", 900)
@@ -233,7 +216,7 @@
 async def test_a_signal_amid_the_exit_does_not_change_the_exit_code(name: str, tmp_path: Path) -> None:
     document = config([], free_port())
     document["listen"] = f"127.0.0.1:{free_port()}"
-    async with scripted_node(tmp_path, document, SIGNAL_AT_EXIT.format(name=name)) as process:
+    async with node_process(tmp_path, document, script_command(SIGNAL_AT_EXIT.format(name=name))) as process:
         assert b'"serving"' in await process.stderr.receive()
         process.send_signal(signal.SIGTERM)
         assert await process.wait() == 0
@@ -280,7 +263,9 @@
         await tasks.start(backend.serve)
         document = config([list_line(0, backend.port)], free_port())
         document["listen"] = f"127.0.0.1:{free_port()}"
-        async with scripted_node(tmp_path, document, FAILING_STEP.format(step=step)) as process:
+        async with node_process(
+            tmp_path, document, script_command(FAILING_STEP.format(step=step))
+        ) as process:
             assert b'"serving"' in await process.stderr.receive()
             client = await connect(int(document["listen"].rpartition(":")[2]))
             await client.send("a", "pay", 900, b"x")
@@ -356,22 +341,18 @@
     port = free_port()
     async with anyio.create_task_group() as tasks:
         await tasks.start(backend.serve)
-        path = tmp_path / "config.json"
         document = config([list_line(0, backend.port)], free_port()) | {"listen": f"127.0.0.1:{port}"}
-        path.write_text(json.dumps(document))
-        environment = {**os.environ, "TMPDIR": str(tmp_path), "EDGE_CONFIG": str(path)}
         with Path("/dev/full").open("wb") as full_disk:
-            process = await anyio.open_process(NODE_COMMAND, env=environment, stderr=full_disk)
-        async with process:
-            await wait_until_ready(port)
-            client = await connect(port)
-            await client.send("a", "pay", 900, b"x")
-            await wait_until(lambda: backend.connections)
-            process.send_signal(signal.SIGTERM)
-            await anyio.sleep(0.1)
-            backend.gate.set()
-            assert (await client.answer()).target == "200"
-            assert await process.wait() == 0
+            async with node_process(tmp_path, document, stderr=full_disk) as process:
+                await wait_until_ready(port)
+                client = await connect(port)
+                await client.send("a", "pay", 900, b"x")
+                await wait_until(lambda: backend.connections)
+                process.send_signal(signal.SIGTERM)
+                await anyio.sleep(0.1)
+                backend.gate.set()
+                assert (await client.answer()).target == "200"
+                assert await process.wait() == 0
         tasks.cancel_scope.cancel()
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,14 +4,13 @@
 
 import signal
 import socket
-import sys
 from dataclasses import replace
 from pathlib import Path
 from random import Random
 
 import anyio
 import pytest
-from harness import wait_until
+from harness import script_command, wait_until
 
 from thornladder.rig.soak.backend import FaultyBackend
 from thornladder.rig.soak.network_plan import draw_network_plan
@@ -110,7 +109,7 @@
 
 
 async def test_the_soak_finds_requests_that_cross_a_late_close(tmp_path: Path) -> None:
-    command = [sys.executable, "-B", "-c", NODE_WITH_LATE_CLOSES]
+    command = script_command(NODE_WITH_LATE_CLOSES)
     records = await Soak(lone_node_plan(0), tmp_path, command).play()
     assert records.counts()["crossed"] > 0
     assert any("reset without a whole answer" in violation for violation in records.violations())
@@ -161,7 +160,7 @@
 
 @pytest.mark.parametrize("planted", [False, True])
 async def test_the_soak_finds_early_answers_that_are_cut(planted: bool, tmp_path: Path) -> None:
-    command = [sys.executable, "-B", "-c", NODE_THAT_CUTS_EARLY_ANSWERS] if planted else NODE_COMMAND
+    command = script_command(NODE_THAT_CUTS_EARLY_ANSWERS) if planted else NODE_COMMAND
     records = await Soak(early_answers_plan(), tmp_path, command).play()
     assert any("cut without a whole answer" in violation for violation in records.violations()) is planted
     assert planted or records.violations() == []
@@ -212,7 +211,7 @@
 
 @pytest.mark.parametrize("planted", [False, True])
 async def test_the_soak_finds_requests_that_outlive_their_process(planted: bool, tmp_path: Path) -> None:
-    command = [sys.executable, "-B", "-c", NODE_WITHOUT_SCHEDULE] if planted else NODE_COMMAND
+    command = script_command(NODE_WITHOUT_SCHEDULE) if planted else NODE_COMMAND
     records = await Soak(hanging_plan(), tmp_path, command).play()
     assert bool(records.violations()) is planted
 
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -3,13 +3,9 @@
 from __future__ import annotations
 
 import errno
-import json
-import os
 import socket
 import subprocess
-import sys
 from collections.abc import Callable
-from contextlib import asynccontextmanager
 from pathlib import Path
 
 import anyio
@@ -22,6 +18,7 @@
     RecordingLog,
     config,
     list_line,
+    node_process,
     reply,
 )
 
@@ -45,23 +42,6 @@
             await anyio.sleep(0.01)
 
 
-@asynccontextmanager
-async def running_process(folder: Path, file: dict):
-    path = folder / "config.json"
-    path.write_text(json.dumps(file))
-    child = await anyio.open_process(
-        [sys.executable, "-B", "-m", "thornladder"], stderr=subprocess.DEVNULL,
-        env={**os.environ, "TMPDIR": str(folder), "EDGE_CONFIG": str(path)},
-    )  # fmt: skip
-    try:
-        yield child
-    finally:
-        with anyio.CancelScope(shield=True):
-            if child.returncode is None:
-                child.kill()
-            await child.aclose()
-
-
 def free_port() -> int:
     with socket.socket() as probe_socket:
         probe_socket.bind(("127.0.0.1", 0))
@@ -87,7 +67,7 @@
         await tasks.start(discovery.serve)
         file = config([list_line(0, backend.port)], discovery.port if discovery_reply else free_port())
         file["listen"] = f"127.0.0.1:{free_port()}"
-        async with running_process(tmp_path, file) as child:
+        async with node_process(tmp_path, file, stderr=subprocess.DEVNULL) as child:
             port = int(file["listen"].rpartition(":")[2])
             await wait_until_ready(port)
             client = Client(await anyio.connect_tcp("127.0.0.1", port))
@@ -107,7 +87,7 @@
         await tasks.start(discovery.serve)
         file = config([list_line(0, backend.port)], discovery.port) | {"listen": f"127.0.0.1:{free_port()}"}
         port = int(file["listen"].rpartition(":")[2])
-        async with running_process(tmp_path, file):
+        async with node_process(tmp_path, file, stderr=subprocess.DEVNULL):
             await wait_until_ready(port)
         written = [path for path in tmp_path.iterdir() if path.name.startswith("thornladder-")]
         assert written
@@ -119,7 +99,7 @@
                 path.mkdir()  # can be neither read nor written
             else:
                 path.write_bytes(b'1 00000000\n{"node":"x"}')
-        async with running_process(tmp_path, file):
+        async with node_process(tmp_path, file, stderr=subprocess.DEVNULL):
             await wait_until_ready(port)
             assert (await ask(port)).target == "200"
         tasks.cancel_scope.cancel()
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -16,6 +16,7 @@
 import anyio
 import pytest
 from harness import (
+    NODE_COMMAND,
     READY_REQUEST,
     SETTINGS,
     Client,
@@ -31,7 +32,6 @@
     reply,
     wait_until,
 )
-from test_process import NODE_COMMAND
 
 from thornladder import decide, settings
 from thornladder.interface import ListKind, State
