Soak: the lateness of the present turn counts, and an attempt begins with its head

What was found is a fault of the measure that gives just this: after a turn of the soak's own event loop that is late, what is read in that turn was held against a lateness counted only by a timer later in the turn. test_the_lateness_of_the_present_turn_counts failed before. Besides, an attempt was taken at its last byte, where the term counts its first.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import signal
 import socket
+import time
 from dataclasses import replace
 from pathlib import Path
 from random import Random
@@ -13,6 +14,7 @@
 from harness import script_command, wait_until
 
 from thornladder.rig.soak.backend import FaultyBackend
+from thornladder.rig.soak.clock import MachineLag
 from thornladder.rig.soak.network_plan import draw_network_plan
 from thornladder.rig.soak.node import NODE_COMMAND
 from thornladder.rig.soak.plan import (
@@ -36,6 +38,7 @@
 # A node whose end is counted from the signal, and the time of a request from when it was read.
 NODE_WITHOUT_SCHEDULE = """
 import sys
+import time
 from thornladder.__main__ import main
 from thornladder.node.host import NodeHost
 from thornladder.node.shutdown import ShutdownSchedule
@@ -59,6 +62,7 @@
 # A node that closes connections at rest for 0.2 s, some time after it has looked at them.
 NODE_WITH_LATE_CLOSES = """
 import sys
+import time
 import anyio
 from thornladder.__main__ import main
 from thornladder.node import streams
@@ -133,6 +137,7 @@
 # A node that leaves the rest of a request unread while its answer is under way, up to 64 KiB.
 NODE_THAT_CUTS_EARLY_ANSWERS = """
 import sys
+import time
 from thornladder.__main__ import main
 from thornladder.node.clients.connection import ClientConnection
 
@@ -242,3 +247,16 @@
     finally:
         signal.signal(signal.SIGINT, handler)
     assert records.processes and records.violations() == []
+
+
+# Seeds 205 and 9145 told of an attempt over 0.1 s after its client had left, on a machine that was late: what
+# is read in a late turn was held against a lateness that was counted only later in that turn.
+async def test_the_lateness_of_the_present_turn_counts() -> None:
+    lag = MachineLag()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(lag.run)
+        await anyio.sleep(0.05)
+        before = lag.total
+        time.sleep(0.2)
+        assert lag.total - before >= 0.18
+        tasks.cancel_scope.cancel()
--- a/thornladder/rig/soak/records.py
+++ b/thornladder/rig/soak/records.py
@@ -63,9 +63,9 @@
 
 @dataclass
 class Attempt:
-    """A request that a backend received whole."""
+    """A request that a backend received."""
 
-    at: float
+    at: float  # when its head had come
     offering: str
     backend: int
     lost: float  # seconds by which the machine had been late in all
