--- a/tests/harness.py
+++ b/tests/harness.py
@@ -33,7 +33,7 @@
     State,
     Tenant,
 )
-from thornladder.node import messages, service
+from thornladder.node import messages, service, streams
 
 OFFERINGS = [
     Offering("look", Idempotency.REPEATABLE, "all", 5.0, 0.25, 1.0, 1.0, 0.2),
@@ -275,11 +275,12 @@
 class FakeServer:
     """A backend or a discovery service: sends the bytes that `answer` returns for each message.
 
-    None stays silent until the other side closes, b"" closes at once, and bytes that end with CUT are sent
-    without it before the connection is closed.
+    None stays silent until the other side closes, b"" closes at once, and bytes that end with CUT or RESET
+    are sent without it before the connection is closed or reset.
     """
 
     CUT = b"<cut>"
+    RESET = b"<reset>"
 
     def __init__(self, answer: Callable[[ReceivedMessage], bytes | None]) -> None:
         self.answer = answer
@@ -326,8 +327,11 @@
                         if data is None:
                             await self._stay_silent(stream)
                             return
-                        await stream.send(data.removesuffix(self.CUT))
-                        if not data or data.endswith(self.CUT):
+                        await stream.send(data.removesuffix(self.CUT).removesuffix(self.RESET))
+                        if data.endswith(self.RESET):
+                            await anyio.sleep(0.05)  # a reset may overtake what was sent
+                            streams.reset(stream)
+                        if not data or data.endswith((self.CUT, self.RESET)):
                             return
                         protocol = h11.Connection(h11.SERVER)
                     else:
--- /dev/null
+++ b/tests/test_answers_without_length.py
@@ -0,0 +1,89 @@
+"""Answers of backends that have no length and end with their connection (RFC 9112, 6.3)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+import h11
+import pytest
+from harness import FakeServer, LoopbackCluster, ReceivedMessage, reply
+
+from thornladder.node.messages import LIVE_PATH
+
+pytestmark = pytest.mark.anyio
+# Raised where a client sees that an answer is not whole.
+INCOMPLETE_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, h11.RemoteProtocolError)
+Answer = Callable[[ReceivedMessage], bytes]
+
+
+def unframed_answer(length: int, end: bytes) -> Answer:
+    """A backend that answers with this many bytes after a head that tells no length; probes are answered."""
+
+    def answer(message: ReceivedMessage) -> bytes:
+        if message.target == LIVE_PATH.decode():
+            return reply(200)
+        return b"HTTP/1.1 200 OK\r\n\r\n" + body_of(length) + end
+
+    return answer
+
+
+def body_of(length: int) -> bytes:
+    return (b"%08d" % length * (length // 8 + 1))[:length]
+
+
+# Report 98e2ab: each whole answer that ended with its connection was closed at its head and failed.
+@pytest.mark.parametrize("length", [0, 500, 60_000, 70_000, 170_000, 900_000])
+async def test_an_answer_that_ends_with_its_connection_is_served_whole(length: int) -> None:
+    async with LoopbackCluster(unframed_answer(length, FakeServer.CUT)) as cluster:
+        client = await cluster.client()
+        for number in range(2):
+            answer = await client.ask(f"a{number}", "pay", body=b"x")
+            assert (answer.target, answer.body) == ("200", body_of(length))
+
+
+# A reset is no end: what came before it must not pass for the whole answer.
+@pytest.mark.parametrize("length", [500, 60_000])
+async def test_a_small_answer_without_length_that_is_reset_has_failed(length: int) -> None:
+    async with LoopbackCluster(unframed_answer(length, FakeServer.RESET)) as cluster:
+        assert (await cluster.ask("a", "pay", body=b"x")).target == "502"
+
+
+@pytest.mark.parametrize("length", [70_000, 900_000])
+async def test_a_large_answer_without_length_that_is_reset_is_not_served_as_whole(length: int) -> None:
+    async with LoopbackCluster(unframed_answer(length, FakeServer.RESET)) as cluster:
+        client = await cluster.client()
+        with pytest.raises(INCOMPLETE_ERRORS):
+            await client.ask("a", "pay", body=b"x")
+
+
+@pytest.mark.parametrize("whole", [False, True], ids=["cut", "whole"])
+async def test_a_client_of_http_1_0_can_tell_whether_an_answer_without_length_is_whole(whole: bool) -> None:
+    end = FakeServer.CUT if whole else FakeServer.RESET
+    async with LoopbackCluster(unframed_answer(150_000, end)) as cluster:
+        stream = (await cluster.client()).stream
+        await stream.send(b"POST /pay HTTP/1.0\r\nX-Call-Id: a\r\nContent-Length: 1\r\n\r\nx")
+        received = b""
+        with pytest.raises(anyio.EndOfStream if whole else anyio.BrokenResourceError), anyio.fail_after(5.0):
+            while True:
+                received += await stream.receive()
+        assert not whole or received.endswith(b"\r\n\r\n" + body_of(150_000))
+
+
+# A backend that never ends its answer must not hold its client for longer than any other that stalls.
+async def test_a_small_answer_without_length_and_without_end_is_begun_in_time() -> None:
+    def answer(message: ReceivedMessage) -> bytes | None:
+        return None if message.target == "/pay" else reply(200)
+
+    async def begin(stream: anyio.abc.SocketStream) -> None:
+        await stream.send(b"HTTP/1.1 200 OK\r\n\r\nbegin")
+        await FakeServer._stay_silent(cluster.backends[0], stream)
+
+    cluster = LoopbackCluster(answer)
+    cluster.backends[0]._stay_silent = begin
+    async with cluster:
+        client = await cluster.client()
+        await client.send("a", "pay", body=b"x")
+        with anyio.fail_after(2.0):
+            received = await client.stream.receive()
+        assert received.startswith(b"HTTP/1.1 200")
