An answer that ends with its connection reaches its client

Cause: ResponseReader.accept_head took every 200 without a length for malformed, since the end of a connection was not told from its loss. It can be: an orderly end (FIN) is the end of such a body (RFC 9112, 6.3), a reset is not.

Change: such a head is accepted.

--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -82,6 +82,11 @@
         """Length of the body if the head gives it: Transfer-Encoding overrides it (RFC 9112, 6.3)."""
         return None if self.is_chunked else self.declared_length
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the orderly end of the connection ends the body."""
+        return self.head is not None and not self.head_only and self.length is None and not self.is_chunked
+
     @property
     def framings_agree(self) -> bool:
         """Whether a chunked body, now received whole, has the Content-Length that its head declared."""
@@ -96,16 +101,13 @@
         return may and max(self.length or 0, self.size) > MAX_BUFFERED_BYTES
 
     def accept_head(self, head: h11.Response) -> bool:
-        """Takes the head; returns False if the body that it announces is too long or of unknown end."""
+        """Takes the head; returns False if the body that it announces is too long."""
         self.head, self.head_received_at = head, anyio.current_time()
         framing = dict(head.headers)
         content_length = framing.get(b"content-length")
         self.declared_length = int(content_length) if content_length else None
         self.is_chunked = b"transfer-encoding" in framing
-        # A body that ends with its connection cannot be told from one that broke off, and may never end.
-        if self.length is None:
-            return head.status_code != 200 or self.is_chunked or self.head_only
-        return self.head_only or self.length <= self.max_body_bytes
+        return self.head_only or self.length is None or self.length <= self.max_body_bytes
 
     def read_timeout(self) -> float | None:
         """Seconds to wait for more data, or None for no limit.
@@ -290,6 +292,8 @@
                 with suppress(anyio.EndOfStream), anyio.move_on_after(response.read_timeout()) as read_scope:
                     data = await self.stream.receive()
                 if not read_scope.cancelled_caught:
+                    if not data and response.ends_with_connection and not streams.ended_in_order(self.stream):
+                        return self._connection_lost()
                     self.http.receive_data(data)
                 elif response.body_pipe is not None:
                     return Failure(self.stage, Cause.BROKEN)
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -200,6 +200,12 @@
         return True
 
 
+def ended_in_order(stream: SocketStream) -> bool:
+    """Whether the other side has ended its sending, and not reset the connection."""
+    protocol = getattr(stream, "_protocol", None)
+    return bool(getattr(protocol, "is_at_eof", False)) and getattr(protocol, "exception", None) is None
+
+
 def peek_unread(stream: SocketStream) -> bytes | None:
     """Returns what has been received and not yet read, without reading it, but at most `MAX_PEEK_BYTES`.
 
