--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -16,9 +16,9 @@
 from harness import OFFERINGS, SETTINGS, Client, FakeServer, RecordingLog, reply
 from test_process import connect, running_node
 
-from thornladder.node.body_budget import BodyBudget
 from thornladder.node.clients.front import Front
 from thornladder.node.clients.server_state import ServerState
+from thornladder.node.memory_budget import MemoryBudget
 from thornladder.node.shutdown import ShutdownSchedule
 from thornladder.node.tasks import Tasks
 
@@ -74,7 +74,7 @@
     monkeypatch.setattr(Front, "MAX_EXTRA_CONNECTIONS", 0)
     now = 100.0
     state = ServerState(
-        None, {"look": OFFERINGS[0]}, lambda: now, BodyBudget(2**20), lambda: False, lambda *_: None, log
+        None, {"look": OFFERINGS[0]}, lambda: now, MemoryBudget(2**20), lambda: False, lambda *_: None, log
     )
     state.shutdown = ShutdownSchedule(now - DEADLINE_SECONDS, 1.0)
     with socket.create_server(("127.0.0.1", 0)) as listener:
--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -32,9 +32,9 @@
 
 from thornladder.interface import Invocation, Outcome
 from thornladder.node import messages, service, streams
-from thornladder.node.body_budget import BodyBudget
 from thornladder.node.clients.connection import ClientConnection
 from thornladder.node.flow import BODY_PIPE_BYTES
+from thornladder.node.memory_budget import MemoryBudget
 
 pytestmark = pytest.mark.anyio
 BODY = random.Random(5).randbytes(400_000)
@@ -51,7 +51,7 @@
     return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks
 
 
-class RecordingBudget(BodyBudget):
+class RecordingBudget(MemoryBudget):
     """Records the peak use of the budget."""
 
     latest: RecordingBudget
@@ -85,8 +85,8 @@
 
 
 @pytest.mark.parametrize("answer", [large_response, chunked_response])
-async def test_slow_readers_stay_within_the_body_budget(monkeypatch, answer) -> None:
-    monkeypatch.setattr(service, "BodyBudget", RecordingBudget)
+async def test_slow_readers_stay_within_the_memory_budget(monkeypatch, answer) -> None:
+    monkeypatch.setattr(service, "MemoryBudget", RecordingBudget)
     async with LoopbackCluster(*[answer] * 8, memory=4) as cluster:
         slow_clients = [await small_window_client(cluster) for _ in range(8)]
         for number, client in enumerate(slow_clients):
@@ -109,7 +109,7 @@
 
 
 async def test_a_client_leaving_during_a_large_response_releases_its_budget(monkeypatch) -> None:
-    monkeypatch.setattr(service, "BodyBudget", RecordingBudget)
+    monkeypatch.setattr(service, "MemoryBudget", RecordingBudget)
     monkeypatch.setitem(globals(), "BODY", bytes(20_000_000))
     async with LoopbackCluster(large_response) as cluster:
         for number in range(3):
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -34,11 +34,11 @@
 from test_start import free_port, wait_until_ready
 
 from thornladder.interface import Offering
-from thornladder.node.body_budget import BodyBudget
 from thornladder.node.clients.connection import ClientConnection
 from thornladder.node.clients.front import Front
 from thornladder.node.clients.server_state import ServerState
 from thornladder.node.host import NodeHost
+from thornladder.node.memory_budget import MemoryBudget
 from thornladder.node.shutdown import ACCEPT_SECONDS, ShutdownSchedule
 from thornladder.node.tasks import Tasks
 from thornladder.node.termination import Termination
@@ -364,7 +364,7 @@
         return {"look": replace(OFFERINGS[0], cut_off=cut_off)}
 
     state = ServerState(
-        None, offerings(0.7), lambda: now[0], BodyBudget(2**20), lambda: False, lambda *_: None, None
+        None, offerings(0.7), lambda: now[0], MemoryBudget(2**20), lambda: False, lambda *_: None, None
     )
     assert state.shutdown_deadline == 0.7
     now[0] += 5.0
@@ -395,7 +395,7 @@
     calls: list[str] = []
     connection = ConnectionStub(calls)
     state = ServerState(
-        None, {}, lambda: 100.0, BodyBudget(2**20), lambda: False, lambda *_: None, RecordingLog()
+        None, {}, lambda: 100.0, MemoryBudget(2**20), lambda: False, lambda *_: None, RecordingLog()
     )
     front = Front(state, 10, None)
     front.connections.add(connection)
--- a/tests/test_upload_limits.py
+++ b/tests/test_upload_limits.py
@@ -12,9 +12,9 @@
 from harness import Client, LoopbackCluster, ReceivedMessage, list_line, list_reply, reply, wait_until
 
 from thornladder.node import service, streams
-from thornladder.node.body_budget import BodyBudget
 from thornladder.node.clients.upload import Upload
 from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe
+from thornladder.node.memory_budget import MemoryBudget
 
 pytestmark = pytest.mark.anyio
 BODY = random.Random(7).randbytes(300_000)
@@ -23,7 +23,7 @@
 FRAMINGS = pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunks"])
 
 
-class ObservedBudget(BodyBudget):
+class ObservedBudget(MemoryBudget):
     """The budget of the node that was started last; a test can take all of it."""
 
     latest: ObservedBudget
@@ -43,7 +43,7 @@
 
 @pytest.fixture(autouse=True)
 def observed_budget(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(service, "BodyBudget", ObservedBudget)
+    monkeypatch.setattr(service, "MemoryBudget", ObservedBudget)
 
 
 def done(_: ReceivedMessage) -> bytes:
@@ -152,7 +152,7 @@
 
 async def test_room_is_given_in_the_order_of_asking_and_back_when_a_wait_is_cancelled() -> None:
     """Guards against a wait that others overtake, and against room that a cancelled wait keeps."""
-    budget, order = BodyBudget(10), []
+    budget, order = MemoryBudget(10), []
 
     async def hold(name: str, scope: anyio.CancelScope) -> None:
         with scope:
@@ -182,7 +182,7 @@
 
 async def test_a_higher_limit_lets_those_in_that_wait() -> None:
     """Guards against a wait that goes on although another process has left its share of the memory."""
-    budget = BodyBudget(10)
+    budget = MemoryBudget(10)
     await budget.acquire(10, "first")
     await budget.acquire(10, "overdraft")
     with anyio.fail_after(5.0):
@@ -222,7 +222,7 @@
     with client_socket:
         async with await SocketStream.from_socket(node_socket) as stream:
             streams.limit_reads(stream)
-            upload = Upload(BodyPipe(), length, stream, BodyBudget(2**20), lambda: now[0], 0.0)
+            upload = Upload(BodyPipe(), length, stream, MemoryBudget(2**20), lambda: now[0], 0.0)
             client_socket.sendall(first)
             await wait_until(lambda: streams.peek_unread(stream) == first)
             now[0] += 5.0
--- a/thornladder/node/backends/pushes.py
+++ b/thornladder/node/backends/pushes.py
@@ -14,9 +14,9 @@
 from thornladder.interface import NO_REPORT, ListKind, LoadReport, Outcome, State
 from thornladder.node import messages
 from thornladder.node.backends.pool import Pool
-from thornladder.node.body_budget import BodyBudget
 from thornladder.node.exchange import Exchange
 from thornladder.node.http1 import Cause, Failure, Stage, UpstreamConnection
+from thornladder.node.memory_budget import MemoryBudget
 from thornladder.node.messages import (
     ClientResponse,
     DiscoveryResponse,
@@ -101,7 +101,7 @@
         pool: Pool,
         drain_grace: float,
         soft_removal: bool,
-        body_budget: BodyBudget,
+        memory_budget: MemoryBudget,
         tasks: Tasks,
         listener: PushListener,
         clock: Callable[[], float],
@@ -114,7 +114,7 @@
         `soft_removal`: only a listed drain stops pushes, not the absence of a backend from the list.
         `request_load_reports`: whether probes ask for the backend's load report.
         """
-        self.pool, self.drain_grace, self.body_budget, self.tasks = pool, drain_grace, body_budget, tasks
+        self.pool, self.drain_grace, self.memory_budget, self.tasks = pool, drain_grace, memory_budget, tasks
         self.soft_removal = soft_removal
         self.listener, self.clock, self.log = listener, clock, log
         self.probe_request = messages.LOAD_PROBE if request_load_reports else messages.HEALTH_PROBE
@@ -257,7 +257,7 @@
                         messages.MAX_BODY_BYTES if on_streaming is not None else messages.MAX_BUFFERED_BYTES
                     )
                     result = await connection.round_trip(
-                        request, message, max_body_bytes, on_streaming, self.body_budget, on_held
+                        request, message, max_body_bytes, on_streaming, self.memory_budget, on_held
                     )
         except Exception:
             # An unexpected error ends this push, which may have run, and not the node.
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -464,7 +464,7 @@
             return
         limit_kernel_buffers(self.stream)
         self.upload = Upload(
-            pipe, decoded[1].length, self.stream, self.server_state.body_budget, self.server_state.clock,
+            pipe, decoded[1].length, self.stream, self.server_state.memory_budget, self.server_state.clock,
             self.unread_seconds,
         )  # fmt: skip
         self.body.clear()
--- a/thornladder/node/clients/server_state.py
+++ b/thornladder/node/clients/server_state.py
@@ -8,11 +8,11 @@
 from typing import Any, Protocol
 
 from thornladder.interface import Offering
-from thornladder.node.body_budget import BodyBudget
 from thornladder.node.clients.client_pool import ClientPool
 from thornladder.node.clients.closures import ClosureLog
 from thornladder.node.clients.early import EarlyShedder, ShedPolicy
 from thornladder.node.exchange import Exchange
+from thornladder.node.memory_budget import MemoryBudget
 from thornladder.node.shutdown import ShutdownSchedule
 
 
@@ -50,14 +50,14 @@
         handler: InvocationHandler,
         offerings: Mapping[str, Offering],
         clock: Callable[[], float],
-        body_budget: BodyBudget,
+        memory_budget: MemoryBudget,
         is_lagging: Callable[[], bool],
         shed_policy: ShedPolicy,
         log: Any,
         client_pool_limit: int = sys.maxsize,
     ) -> None:
         """`client_pool_limit`: how many connections clients have at most for their requests."""
-        self.handler, self.clock, self.body_budget, self.log = handler, clock, body_budget, log
+        self.handler, self.clock, self.memory_budget, self.log = handler, clock, memory_budget, log
         self.is_lagging = is_lagging  # whether this node is late in reading what it has received
         self.shed_policy = shed_policy
         self.closures, self.client_pool = ClosureLog(clock, log), ClientPool(client_pool_limit, log)
--- a/thornladder/node/clients/upload.py
+++ b/thornladder/node/clients/upload.py
@@ -10,8 +10,8 @@
 from anyio.abc import SocketStream
 
 from thornladder.node import streams
-from thornladder.node.body_budget import BodyBudget
 from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe
+from thornladder.node.memory_budget import MemoryBudget
 
 
 class Upload:
@@ -28,13 +28,13 @@
         pipe: BodyPipe,
         length: int | None,
         stream: SocketStream,
-        body_budget: BodyBudget,
+        memory_budget: MemoryBudget,
         clock: Callable[[], float],
         unread_seconds: float,
     ) -> None:
         """`length`: by Content-Length, None if chunked. `unread_seconds`: how long its start lay unread."""
         self.pipe, self.length, self.stream = pipe, length, stream
-        self.body_budget, self.clock = body_budget, clock
+        self.memory_budget, self.clock = memory_budget, clock
         self.pending_parts: deque[bytes] = deque()  # read, but not yet passed to `pipe`
         self.read_whole = False  # whether the last byte has been read
         self.finished = False
@@ -100,10 +100,10 @@
         """Waits for room for what has been read, unless the upload ends; returns whether it had to."""
         if self.has_room or self.finished or not self.pending_parts:
             return False
-        must_wait = not self.body_budget.has_room(BODY_PIPE_BYTES, self)
+        must_wait = not self.memory_budget.has_room(BODY_PIPE_BYTES, self)
         self.held_since = self.clock()
         with anyio.CancelScope() as self.forward_scope:
-            await self.body_budget.acquire(BODY_PIPE_BYTES, self)
+            await self.memory_budget.acquire(BODY_PIPE_BYTES, self)
             self.has_room = True
             if self.finished:
                 self._release_room()
@@ -136,4 +136,4 @@
     def _release_room(self) -> None:
         if self.has_room:
             self.has_room = False
-            self.body_budget.release(BODY_PIPE_BYTES, self)
+            self.memory_budget.release(BODY_PIPE_BYTES, self)
--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -12,8 +12,8 @@
 from anyio.abc import SocketStream
 
 from thornladder.node import connecting, streams
-from thornladder.node.body_budget import BodyBudget
 from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe, limit_kernel_buffers
+from thornladder.node.memory_budget import MemoryBudget
 from thornladder.node.messages import MAX_BUFFERED_BYTES, UpstreamRequest, UpstreamResponse
 from thornladder.node.streams import STREAM_CLOSED_ERRORS, has_unread_data
 from thornladder.settings import Address
@@ -55,12 +55,12 @@
         head_only: bool,
         max_body_bytes: int,
         on_streaming: Callable[[UpstreamResponse], None] | None,
-        body_budget: BodyBudget | None,
+        memory_budget: MemoryBudget | None,
         on_held: Callable[[], None] | None,
     ) -> None:
         """`head_only`: the request is a HEAD. Without `on_streaming` every body is buffered."""
-        self.head_only, self.max_body_bytes, self.on_streaming, self.body_budget, self.on_held = (
-            head_only, max_body_bytes, on_streaming, body_budget, on_held
+        self.head_only, self.max_body_bytes, self.on_streaming, self.memory_budget, self.on_held = (
+            head_only, max_body_bytes, on_streaming, memory_budget, on_held
         )  # fmt: skip
         self.head: h11.Response | None = None
         self.declared_length: int | None = None  # by Content-Length, even where the body is chunked
@@ -136,10 +136,10 @@
 
     async def start_streaming(self, connection: UpstreamConnection) -> None:
         """Hands the response to its client, with what has arrived of the body; the rest follows."""
-        if self.body_budget is not None:
-            if self.on_held is not None and not self.body_budget.has_room(BODY_PIPE_BYTES, connection):
+        if self.memory_budget is not None:
+            if self.on_held is not None and not self.memory_budget.has_room(BODY_PIPE_BYTES, connection):
                 self.on_held()
-            await self.body_budget.acquire(BODY_PIPE_BYTES, connection)
+            await self.memory_budget.acquire(BODY_PIPE_BYTES, connection)
             self.budget_acquired = True
         limit_kernel_buffers(connection.stream)
         assert self.head is not None and self.on_streaming is not None
@@ -161,8 +161,8 @@
         """Ends the stream to the client, if there is one, and gives its budget back."""
         if self.body_pipe is not None:
             self.body_pipe.finish(self.complete)
-        if self.budget_acquired and self.body_budget is not None:
-            self.body_budget.release(BODY_PIPE_BYTES, connection)
+        if self.budget_acquired and self.memory_budget is not None:
+            self.memory_budget.release(BODY_PIPE_BYTES, connection)
 
 
 class UpstreamConnection:
@@ -193,19 +193,19 @@
         self, request: h11.Request, message: UpstreamRequest | None = None,
         max_body_bytes: int = MAX_BUFFERED_BYTES,
         on_streaming: Callable[[UpstreamResponse], None] | None = None,
-        body_budget: BodyBudget | None = None,
+        memory_budget: MemoryBudget | None = None,
         on_held: Callable[[], None] | None = None,
     ) -> UpstreamResponse | Failure:  # fmt: skip
         """Sends one request and waits for its response, whose body has at most `max_body_bytes`.
 
         `on_streaming` is called when a large body starts with status 200; this then returns once the body has
-        been passed on. Streamed bodies are counted in `body_budget`; `on_held` is called if the response has
+        been passed on. Streamed bodies are counted in `memory_budget`; `on_held` is called if the response has
         to wait for room there. A caller that cancels this has to close the connection.
         """
         self.stage, self.reusable = Stage.WRITING, False
         self.request_count += 1
         self.response = ResponseReader(
-            request.method == b"HEAD", max_body_bytes, on_streaming, body_budget, on_held
+            request.method == b"HEAD", max_body_bytes, on_streaming, memory_budget, on_held
         )
         body = message.body if message is not None else b""
         try:
--- a/thornladder/node/body_budget.py
+++ b/thornladder/node/memory_budget.py
@@ -10,14 +10,14 @@
 
 @dataclass(frozen=True, slots=True)
 class _Waiter:
-    """A holder that waits for room in a `BodyBudget`."""
+    """A holder that waits for room in a `MemoryBudget`."""
 
     size: int
     holder: object
     granted: anyio.Event
 
 
-class BodyBudget:
+class MemoryBudget:
     """Limits the memory, in bytes, that streamed bodies occupy in this node; first come, first served.
 
     Without it many large bodies, or slow readers of them, would exhaust the memory.
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -15,7 +15,6 @@
 from thornladder.node.admin.server import AdminServer
 from thornladder.node.backends.pool import Pool
 from thornladder.node.backends.pushes import PushDispatcher
-from thornladder.node.body_budget import BodyBudget
 from thornladder.node.clients.front import Front
 from thornladder.node.clients.server_state import ServerState
 from thornladder.node.companion import NodeContext, NodeExtension
@@ -31,6 +30,7 @@
 )
 from thornladder.node.host import Clock, NodeHost
 from thornladder.node.maintenance import Maintenance
+from thornladder.node.memory_budget import MemoryBudget
 from thornladder.node.messages import DiscoveryResponse
 from thornladder.node.operations import Operations
 from thornladder.node.tasks import Tasks
@@ -83,13 +83,13 @@
         pool = Pool(
             max_connections - max_clients, transport.backend_idle_timeout, transport.connect_timeout, clock
         )
-        body_budget = BodyBudget(max(config.memory // BODY_MEMORY_DIVISOR, 2**20))
+        memory_budget = MemoryBudget(max(config.memory // BODY_MEMORY_DIVISOR, 2**20))
         request_load_reports = config.decisions["limits"].probes_per_invocation > 0.0
         pushes = PushDispatcher(
             pool,
             transport.drain_grace,
             transport.soft_removal,
-            body_budget,
+            memory_budget,
             tasks,
             host,
             clock,
@@ -117,7 +117,7 @@
         for extension in extensions:
             handler, shed_policy = extension.wrap(handler, shed_policy)
         server_state = ServerState(
-            handler, host.node.offerings, clock, body_budget, lambda: host.lag.is_late, shed_policy, log,
+            handler, host.node.offerings, clock, memory_budget, lambda: host.lag.is_late, shed_policy, log,
             max(round(CLIENT_POOL_SHARE * config.sockets), 4),
         )  # fmt: skip
         front = Front(server_state, max_clients, tasks, config.inherited is not None)
@@ -128,7 +128,7 @@
         }
         operations = Operations(host, front, handover.maintenance_store.merge, log, extra_endpoints)
         tasks.supervise("the idle connection sweep", _sweep, front, pushes)
-        tasks.supervise("the handover", handover.run, host, front, pool, body_budget)
+        tasks.supervise("the handover", handover.run, host, front, pool, memory_budget)
         context = NodeContext(
             config.name, config.seed, config.folder, config.decisions["nodes"], config.admin, tasks, log,
             partial(handover.set_node_count, host), lambda: reload.config.raw["settings"],
@@ -226,13 +226,13 @@
         else:
             self.announcing_failed = False
 
-    async def run(self, host: NodeHost, front: Front, pool: Pool, body_budget: BodyBudget) -> None:
+    async def run(self, host: NodeHost, front: Front, pool: Pool, memory_budget: MemoryBudget) -> None:
         """Synchronizes with the other processes and divides the limits, for as long as the node runs."""
         # Recorded once: this task restarts after an error, and the current limits may be divided by then.
         self.node_limits = self.node_limits or (
             front.max_connections,
             pool.max_connections,
-            body_budget.limit,
+            memory_budget.limit,
         )
         max_clients, max_backends, memory = self.node_limits
         while True:
@@ -252,7 +252,7 @@
             pool.max_connections = min(
                 max_backends, max(pool.open_connections + round((1.0 - CLIENT_SHARE) * free), 4)
             )
-            body_budget.limit = memory // process_count
+            memory_budget.limit = memory // process_count
             await anyio.sleep(self.SYNC_SECONDS)
 
     def announce_leaving(self, front: Front) -> None:
--- a/thornladder/rig/told.py
+++ b/thornladder/rig/told.py
@@ -23,11 +23,11 @@
 from thornladder.node import messages
 from thornladder.node.backends.pool import Pool
 from thornladder.node.backends.pushes import PushDispatcher
-from thornladder.node.body_budget import BodyBudget
 from thornladder.node.discovery.watch import Watch
 from thornladder.node.exchange import Exchange
 from thornladder.node.host import NodeHost
 from thornladder.node.http1 import Cause, Failure, Stage, UpstreamConnection
+from thornladder.node.memory_budget import MemoryBudget
 from thornladder.node.messages import ClientResponse, FinalOutcome, UpstreamRequest
 from thornladder.node.tasks import Tasks
 from thornladder.rig import moments
@@ -429,7 +429,7 @@
             host = NodeHost(clock, tasks, self.log)  # type: ignore[arg-type]
             pool = Pool(4096, 60.0, 1.0, clock, connect=self._connect)
             pushes = PushDispatcher(
-                pool, self.schedule.drain_grace, False, BodyBudget(2**20), tasks, host, clock, self.log
+                pool, self.schedule.drain_grace, False, MemoryBudget(2**20), tasks, host, clock, self.log
             )
             entries = [list_entry(f"s{number}", "in_service") for number in range(self.schedule.backends)]
             initial_list = messages.decode_list({"generation": 1, "reset": True, "instances": entries})
