Failing tests: crowds that cost a process more than its memory

A process of 18 MB at rest. A sound client beside it: 1 to 19 of 20 requests without an answer in 5 s (mixed, fields).

--- /dev/null
+++ b/tests/test_memory_limits.py
@@ -0,0 +1,110 @@
+"""A process stays within its memory limit whatever its clients do, and sound clients get their answers."""
+
+from __future__ import annotations
+
+import copy
+import math
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import anyio
+import pytest
+from harness import SETTINGS, FakeServer, ReceivedMessage, reply, script_command
+from test_process import connect, running_node
+
+from thornladder.node.streams import STREAM_CLOSED_ERRORS
+from thornladder.rig.crowd import Crowd, CrowdKind, MemorySampler
+
+pytestmark = pytest.mark.anyio
+# Without `rich`, which the deployed node does not have and structlog would import.
+LEAN_NODE = script_command(
+    "import sys; sys.modules['rich'] = None; from thornladder.__main__ import main; sys.exit(main())"
+)
+CROWD_SIZE = 600  # more than a process of 1,024 descriptors takes at once
+CROWD_SECONDS = 3.0
+DEADLINE_SECONDS = 1.0
+# After a request's time, in which a final answer still counts, and what each limit is longer on sockets.
+GRACE_SECONDS = 0.55
+ANSWERS = {"/look": 10, "/pay": 60_000, "/book": 2_000_000}  # bytes, by offering
+KINDS = [kind for kind in CrowdKind if kind is not CrowdKind.TINY_CHUNKS]
+
+
+def answer(message: ReceivedMessage) -> bytes:
+    return reply(200, bytes(ANSWERS.get(message.target, 0)))
+
+
+@dataclass
+class Outcome:
+    """What a sound client saw beside a crowd, and the most memory that the node had."""
+
+    statuses: list[str] = field(default_factory=list)
+    seconds: list[float] = field(default_factory=list)
+    memory: MemorySampler | None = None
+
+
+@asynccontextmanager
+async def loaded_node(
+    folder: Path, kind: CrowdKind, memory: int, sockets: int = 1024, size: int = CROWD_SIZE
+) -> AsyncIterator[tuple[MemorySampler, int]]:
+    """A node with this crowd for as long as the context lasts."""
+    info = copy.deepcopy(SETTINGS)
+    for offering in info["Classes"]:
+        offering |= {"HardLimit": 10_000_000}
+    servers = [FakeServer(answer) for _ in range(4)]
+    async with running_node(
+        folder, *servers, info=info, sockets=sockets, memory=memory, command=LEAN_NODE
+    ) as (process, port):
+        sampler = MemorySampler(process.pid)
+        crowd = Crowd(("127.0.0.1", port), kind, size, Random(1), "book", "pay", "pay")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(sampler.run)
+            tasks.start_soon(crowd.run, lambda: False)
+            yield sampler, port
+            tasks.cancel_scope.cancel()
+        assert process.returncode is None
+
+
+async def ask(port: int, id: str, outcome: Outcome) -> None:
+    """One request on a connection of its own; its end, and the seconds to it, go into `outcome`.
+
+    A new connection that a crowded node shuts unread is made again, as clients do.
+    """
+    started_at, status = anyio.current_time(), "none"
+    with anyio.move_on_after(5.0):
+        while status == "none":
+            client = await connect(port)
+            with suppress(*STREAM_CLOSED_ERRORS):
+                async with client.stream:
+                    started_at = anyio.current_time()
+                    status = (await client.ask(id, "look", round(DEADLINE_SECONDS * 1000))).target
+    outcome.statuses.append(status)
+    outcome.seconds.append(anyio.current_time() - started_at if status != "none" else math.inf)
+
+
+async def run_beside(folder: Path, kind: CrowdKind, memory: int) -> Outcome:
+    outcome = Outcome()
+    async with loaded_node(folder, kind, memory) as (sampler, port):
+        until, number = anyio.current_time() + CROWD_SECONDS, 0
+        async with anyio.create_task_group() as tasks:
+            while anyio.current_time() < until:
+                tasks.start_soon(ask, port, f"sound{number}", outcome)
+                number += 1
+                await anyio.sleep(0.2)
+        outcome.memory = sampler
+    return outcome
+
+
+# Report 98e2ab: processes were killed over their memory limit, some 0.1 s after each start.
+@pytest.mark.parametrize(
+    ("kind", "memory"),
+    [(kind, 32) for kind in KINDS] + [(CrowdKind.FIELDS_THEN_HALF_BODY, 96), (CrowdKind.MIXED, 80)],
+    ids=lambda value: value.name.lower() if isinstance(value, CrowdKind) else str(value),
+)
+async def test_a_process_stays_within_its_memory(kind: CrowdKind, memory: int, tmp_path: Path) -> None:
+    outcome = await run_beside(tmp_path, kind, memory)
+    assert outcome.memory is not None and outcome.memory.anonymous <= memory
+    assert max(outcome.seconds) <= DEADLINE_SECONDS + GRACE_SECONDS
+    assert set(outcome.statuses) <= {"200", "503"}
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import subprocess
+from collections.abc import Sequence
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -31,15 +32,22 @@
 
 
 @asynccontextmanager
-async def running_node(folder: Path, *backends: FakeServer, info: dict | None = None, sockets: int = 1024):
+async def running_node(
+    folder: Path,
+    *backends: FakeServer,
+    info: dict | None = None,
+    sockets: int = 1024,
+    memory: int = 192,
+    command: Sequence[str] = NODE_COMMAND,
+):
     """Runs a node with these backends in its own process; yields the process and the node's port."""
     discovery = FakeServer(lambda got: list_reply(1) if got.target.endswith("=0") else None)
     async with anyio.create_task_group() as tasks:
         for peer in (*backends, discovery):
             await tasks.start(peer.serve)
         instances = [list_line(number, peer.port) for number, peer in enumerate(backends)]
-        document = config(instances, discovery.port, sockets, info=info)
-        async with node_process(folder, document) as process:
+        document = config(instances, discovery.port, sockets, memory, info)
+        async with node_process(folder, document, command) as process:
             output = b""
             while b"\n" not in output:
                 output += await process.stderr.receive()
--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -199,8 +199,8 @@
         """Sends one request and waits for its response, whose body has at most `max_body_bytes`.
 
         `on_streaming` is called when a large body starts with status 200; this then returns once the body has
-        been passed on. Streamed bodies are counted in `memory_budget`; `on_held` is called if the response has
-        to wait for room there. A caller that cancels this has to close the connection.
+        been passed on. Streamed bodies are counted in `memory_budget`; `on_held` is called if the response
+        has to wait for room there. A caller that cancels this has to close the connection.
         """
         self.stage, self.reusable = Stage.WRITING, False
         self.request_count += 1
