--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -5,7 +5,7 @@
 import anyio
 import h11
 import pytest
-from harness import FakeServer, LoopbackCluster, ReceivedMessage, wait_until
+from harness import FakeServer, LoopbackCluster, ReceivedMessage, reply, wait_until
 
 pytestmark = pytest.mark.anyio
 CHUNK_BYTES = 50_000
@@ -78,3 +78,28 @@
             assert whole and received.endswith(b"\r\n\r\n" + bytes(3 * CHUNK_BYTES))
         except anyio.BrokenResourceError:
             assert not whole
+
+
+def streamed_request(id: str, length: int, body: bytes) -> bytes:
+    head = f"POST /pay HTTP/1.1\r\nHost: a\r\nX-Call-Id: {id}\r\nX-Budget-Ms: 900\r\n"
+    return f"{head}Content-Length: {length}\r\n\r\n".encode() + body
+
+
+HIDDEN_REQUEST = b"POST /pay HTTP/1.1\r\nHost: a\r\nX-Call-Id: hidden\r\nContent-Length: 1\r\n\r\nx"
+
+
+# Issue 62, item 1: what came behind a streamed body was run as a request of its own, and the cut body served.
+@pytest.mark.parametrize("piece_bytes", [1_000_000, 50_000, 7_001], ids=str)
+@pytest.mark.parametrize(
+    "surplus", [HIDDEN_REQUEST, b"\r\n" * 50, bytes(1000)], ids=["request", "lines", "noise"]
+)
+async def test_bytes_behind_a_streamed_body_reject_the_request(surplus: bytes, piece_bytes: int) -> None:
+    data = streamed_request("a", 100_000, bytes(100_000)) + surplus
+    async with LoopbackCluster(lambda _: reply(200)) as cluster:
+        client = await cluster.client()
+        for offset in range(0, len(data), piece_bytes):
+            await client.stream.send(data[offset : offset + piece_bytes])
+        answer = await client.answer_to("a")
+        assert (answer.target, answer.headers["connection"]) == ("400", "close")
+        assert "hidden" not in cluster.backends[0].head_ids
+        assert piece_bytes < len(data) or not cluster.backends[0].received
