Bytes behind a streamed body reject the request before it can run

With a small body the same is a 400 and nothing runs.

Cause: only the path of buffered requests looked for bytes behind the body (_handle_message); where the body is streamed, its end was noted and what followed stayed in h11's buffer for the next cycle.

Change: at the end of a streamed body the connection looks at h11's buffer and at the kernel; if anything is there the request is rejected before its last byte goes on, so it cannot run. What comes later, while the answer is awaited, rejects it as it does for a buffered one.

--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -265,12 +265,10 @@
                 self.rest_seconds = now - self.last_activity
                 self.message_started_at, self.read_wait_seconds = now, 0.0
             self.last_activity = now
-            if self.exchange is not None and self.upload is None:
+            if self.exchange is not None and (self.upload is None or self.upload.read_whole):
                 # Clients do not pipeline: bytes past the declared length mean that the framing cannot be
                 # trusted.
-                exchange, self.exchange = self.exchange, None
-                self.server_state.handler.client_disconnected(exchange)
-                self._reject(400, "more came than one invocation")
+                self._abort_request(400, "more came than one invocation")
                 continue
             if self.unread_seconds and not shed_check_done and self.idle:
                 nack = self.server_state.early_shedder.nack(
@@ -429,6 +427,8 @@
                     if self.download is None:
                         self._start_next_cycle()
                     self.write_event.set()
+                elif self.upload is not None and self._has_surplus():
+                    self._abort_request(400, "more came than one invocation")
                 elif self.upload is not None:
                     self.upload.on_read_whole()
                 else:
@@ -437,6 +437,10 @@
             else:
                 return
 
+    def _has_surplus(self) -> bool:
+        """Whether bytes have come behind a streamed body: then its declared length cannot be trusted."""
+        return bool(self.http.trailing_data[0]) or bool(streams.peek_unread(self.stream))
+
     def _receive_body_part(self, data: bytes) -> None:
         """Buffers or streams a part of a request body, or drops it if the request is answered."""
         self.received_bytes += len(data)
