--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -8,11 +8,21 @@
 import struct
 import termios
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 import anyio
 import pytest
-from harness import SETTINGS, FakeServer, LoopbackCluster, ReceivedMessage, reply, wait_until
+from harness import (
+    SETTINGS,
+    FakeServer,
+    LoopbackCluster,
+    ReceivedMessage,
+    list_line,
+    list_reply,
+    reply,
+    wait_until,
+)
 
 from thornladder.node import streams
 from thornladder.node.backends.pool import Pool
@@ -236,3 +246,43 @@
 
         monkeypatch.setattr(ClientConnection, "_client_left", check_with_error)
         assert (await cluster.ask("aa", "look")).target == "200" and checked
+
+
+# Report 98e2ab (d): a client wrote all of a large request and left; its backend read slowly, and the request
+# ran seconds later.
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunks"])
+async def test_the_rest_of_a_request_whose_client_has_left_is_not_passed_on(chunked: bool) -> None:
+    body = bytes(600_000)
+    framing = "Transfer-Encoding: chunked" if chunked else f"Content-Length: {len(body)}"
+    content = b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body) if chunked else body
+    head = f"POST /pay HTTP/1.1\r\nHost: a\r\nX-Call-Id: a\r\nX-Budget-Ms: 60000\r\n{framing}\r\n\r\n"
+    received = bytearray()
+    with socket.create_server(("127.0.0.1", 0)) as slow:
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        slow.setblocking(False)
+        async with LoopbackCluster(lambda _: reply(200)) as cluster:
+            list_update = list_reply(2, list_line(0, slow.getsockname()[1]))
+            cluster.discovery.answer = lambda got: list_update if "from=1" in got.target else None
+            for stream in list(cluster.discovery.streams):
+                await stream.aclose()
+            await wait_until(lambda: any("from=2" in got.target for got in cluster.discovery.received))
+            client = await cluster.client()
+            raw = client.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2**20)
+            await client.stream.send(head.encode() + content)
+            await anyio.wait_readable(slow)
+            accepted, _ = slow.accept()
+            accepted.setblocking(False)
+            with accepted:
+                await anyio.sleep(0.2)
+                await client.stream.aclose()
+                await anyio.sleep(0.2)
+                with anyio.move_on_after(3.0), suppress(ConnectionError):
+                    while True:
+                        await anyio.wait_readable(accepted)
+                        data = accepted.recv(65536)
+                        if not data:
+                            break
+                        received += data
+    request_head, _, passed_on = bytes(received).partition(b"\r\n\r\n")
+    assert request_head and len(passed_on) < len(body) and not passed_on.endswith(b"0\r\n\r\n")
