The rest of a large request whose client has left is not passed on

Cause: a streamed body was passed on part by part with a look at its client only where it had to wait for room, not where its backend made it wait; the close lay unread behind the rest of the body.

--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -299,6 +299,9 @@
             if had_to_wait and self.upload is upload and self._client_left():
                 self.scope.cancel()  # the request must not run any more
                 return
+            if upload.pending_parts and self._client_left():
+                self.scope.cancel()  # the request must not run any more
+                return
             await upload.forward()
             if self.upload is upload and upload.read_whole:
                 unread_seconds = upload.unread_seconds
@@ -462,6 +465,7 @@
         assert request is not None
         self._note_request()
         pipe = BodyPipe()
+        pipe.producer_left = self._client_left
         decoded = messages.decode_invocation(request, bytes(self.body), self.server_state.offerings, pipe)
         if isinstance(decoded, BadRequest):
             self._reject(decoded.status, decoded.message)
--- a/thornladder/node/flow.py
+++ b/thornladder/node/flow.py
@@ -21,6 +21,8 @@
 
     def __init__(self) -> None:
         self.on_consumed: Callable[[], None] | None = None  # called when the consumer has used up a part
+        # Whether the one from whom the body comes has left, even if the body has been received whole.
+        self.producer_left: Callable[[], bool] = lambda: False
         self._sender, self._receiver = anyio.create_memory_object_stream[bytes](0)
         self.complete = False  # whether the producer has sent the whole body
         self.producer_scope: anyio.CancelScope | None = None  # cancelled when the consumer leaves
--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -253,9 +253,11 @@
                     remaining -= len(part)
                     if remaining <= 0:
                         await self.stream.send(data[:-1])
+                        if body_pipe.producer_left():
+                            return  # the request must not run any more
                         data, self.stage = data[-1:], Stage.SENT
                 await self.stream.send(data)
-            if body_pipe.complete:
+            if body_pipe.complete and not body_pipe.producer_left():
                 last_chunk = self.http.send(h11.EndOfMessage()) or b""
                 if last_chunk:
                     self.stage = Stage.SENT
