--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -114,7 +114,7 @@
     async def wait_forever(_: socket.socket) -> None:
         await anyio.sleep_forever()
 
-    monkeypatch.setattr("thornladder.node.clients.front.SocketStream.from_socket", wait_forever)
+    monkeypatch.setattr("thornladder.node.clients.front.open_stream", wait_forever)
     log = RecordingLog()
     async with front_with_queue(monkeypatch, log) as (front, listener, clients):
         front.max_connections = len(clients) + 1
--- a/tests/test_connection_errors.py
+++ b/tests/test_connection_errors.py
@@ -4,7 +4,6 @@
 
 import errno
 import socket
-from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -75,8 +74,7 @@
     async with LoopbackCluster(lambda _: reply(200)) as cluster:
         with monkeypatch.context() as patch:
             # In the accepting module alone: the node's own connections are opened by the same function.
-            failing_stream = SimpleNamespace(from_socket=raising(error))
-            patch.setattr("thornladder.node.clients.front.SocketStream", failing_stream)
+            patch.setattr("thornladder.node.clients.front.open_stream", raising(error))
             client = connect_and_send(cluster.port)
             await client.receive()
         assert client.buffer.startswith(b"HTTP/1.1 503")
@@ -85,10 +83,10 @@
 
 
 def raising(error: Exception) -> Any:
-    async def from_socket(_: Any) -> Any:
+    async def open_stream(_: Any) -> Any:
         raise error
 
-    return from_socket
+    return open_stream
 
 
 # Found by reading: a new connection was closed, unread or with its request, where a read failed for a moment.
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -8,7 +8,6 @@
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from random import Random
 
 import anyio
 import pytest
@@ -16,7 +15,7 @@
 from test_process import connect, running_node
 
 from thornladder.node.streams import STREAM_CLOSED_ERRORS
-from thornladder.rig.crowd import Crowd, CrowdKind, MemorySampler
+from thornladder.rig.crowd import CrowdKind, MemorySampler, crowd_command
 
 pytestmark = pytest.mark.anyio
 # Without `rich`, which the deployed node does not have and structlog would import.
@@ -24,7 +23,7 @@
     "import sys; sys.modules['rich'] = None; from thornladder.__main__ import main; sys.exit(main())"
 )
 CROWD_SIZE = 600  # more than a process of 1,024 descriptors takes at once
-CROWD_SECONDS = 3.0
+CROWD_START_SECONDS, CROWD_SECONDS = 0.5, 3.0
 DEADLINE_SECONDS = 1.0
 # After a request's time, in which a final answer still counts, and what each limit is longer on sockets.
 GRACE_SECONDS = 0.55
@@ -58,11 +57,15 @@
         folder, *servers, info=info, sockets=sockets, memory=memory, command=LEAN_NODE
     ) as (process, port):
         sampler = MemorySampler(process.pid)
-        crowd = Crowd(("127.0.0.1", port), kind, size, Random(1), "book", "pay", "pay")
+        crowd = await anyio.open_process(crowd_command(("127.0.0.1", port), kind, size, 1))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(sampler.run)
-            tasks.start_soon(crowd.run, lambda: False)
-            yield sampler, port
+            try:
+                yield sampler, port
+            finally:
+                crowd.kill()
+                with anyio.CancelScope(shield=True):
+                    await crowd.wait()
             tasks.cancel_scope.cancel()
         assert process.returncode is None
 
@@ -87,6 +90,7 @@
 async def run_beside(folder: Path, kind: CrowdKind, memory: int) -> Outcome:
     outcome = Outcome()
     async with loaded_node(folder, kind, memory) as (sampler, port):
+        await anyio.sleep(CROWD_START_SECONDS)
         until, number = anyio.current_time() + CROWD_SECONDS, 0
         async with anyio.create_task_group() as tasks:
             while anyio.current_time() < until:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,6 +19,7 @@
 from thornladder.node.messages import (
     MAX_BODY_BYTES,
     MAX_BUFFERED_BYTES,
+    PackedHeaders,
     UpstreamRequest,
     UpstreamResponse,
 )
@@ -450,7 +451,7 @@
     stream = BreakingStream(sends)
     connection = UpstreamConnection(stream)
     request = h11.Request(method="POST", target="/", headers=[("Host", "a"), ("Content-Length", str(size))])
-    message = UpstreamRequest(b"POST", b"/", [], b"x" * size)
+    message = UpstreamRequest(b"POST", b"/", PackedHeaders(b""), b"x" * size)
     assert await connection.round_trip(request, message) == Failure(stage, Cause.BROKEN)
     assert stream.sent.endswith(b"x" * size) == (stage is Stage.SENT and (size < 4096 or sends == 2))
 
--- a/tests/test_upload_limits.py
+++ b/tests/test_upload_limits.py
@@ -8,13 +8,12 @@
 
 import anyio
 import pytest
-from anyio.abc import SocketStream
 from harness import Client, LoopbackCluster, ReceivedMessage, list_line, list_reply, reply, wait_until
 
 from thornladder.node import service, streams
-from thornladder.node.clients.upload import Upload
+from thornladder.node.clients.upload import FULL_WINDOW_BYTES, Upload
 from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe
-from thornladder.node.memory_budget import MemoryBudget
+from thornladder.node.memory_budget import MemoryBudget, Reservation
 
 pytestmark = pytest.mark.anyio
 BODY = random.Random(7).randbytes(300_000)
@@ -194,6 +193,35 @@
     assert budget.used == 30
 
 
+# Report 98e2ab (b): the client had written all of a large request, most of it was not sent yet since its
+# backend read slowly, and the final answer came seconds after the client's time.
+async def test_a_request_that_waits_on_its_clients_machine_is_answered_in_its_time() -> None:
+    async with LoopbackCluster(done) as cluster, anyio.create_task_group() as tasks:
+        with socket.create_server(("127.0.0.1", 0)) as slow:
+            slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            await move_to_unreading_backend(cluster, slow.getsockname()[1])
+            tasks.start_soon(read_slowly, slow, 20_000)
+            client = await cluster.client()
+            client_socket = client.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * 2**20)
+            await client.stream.send(encode_request("a", 600, 5 * BODY, False))
+            assert (await answer_within(client, 0.6 + GRACE_SECONDS)).target == "503"
+            tasks.cancel_scope.cancel()
+
+
+async def read_slowly(listener: socket.socket, bytes_per_second: int) -> None:
+    """Reads from each connection at this rate, in ten pieces a second."""
+    listener.setblocking(False)
+    await anyio.wait_readable(listener)
+    accepted, _ = listener.accept()
+    accepted.setblocking(False)
+    with accepted:
+        while True:
+            with suppress(BlockingIOError):
+                accepted.recv(bytes_per_second // 10)
+            await anyio.sleep(0.1)
+
+
 @FRAMINGS
 async def test_a_request_that_is_still_being_sent_may_be_held_back_for_longer(chunked: bool) -> None:
     """Guards against a client's time that begins before its last byte has been received."""
@@ -201,10 +229,11 @@
         taken = await ObservedBudget.latest.fill()
         client = await cluster.client()
         data = encode_request("a", 300, BODY, chunked)
-        await client.stream.send(data[:100_000])
+        # So little that the node's machine takes all of it: the client can have written no more.
+        await client.stream.send(data[: FULL_WINDOW_BYTES - 1000])
         await anyio.sleep(1.0)
         ObservedBudget.latest.release(taken, ObservedBudget.latest)
-        await client.stream.send(data[100_000:])
+        await client.stream.send(data[FULL_WINDOW_BYTES - 1000 :])
         assert (await answer_within(client, 2.0)).target == "200"
         assert cluster.backends[0].received[0].body == BODY
 
@@ -220,9 +249,9 @@
     now = [100.0]
     client_socket, node_socket = loopback_pair()
     with client_socket:
-        async with await SocketStream.from_socket(node_socket) as stream:
-            streams.limit_reads(stream)
-            upload = Upload(BodyPipe(), length, stream, MemoryBudget(2**20), lambda: now[0], 0.0)
+        node_socket.setblocking(False)
+        async with await streams.open_stream(node_socket) as stream:
+            upload = Upload(BodyPipe(), length, stream, Reservation(MemoryBudget(2**20)), lambda: now[0], 0.0)
             client_socket.sendall(first)
             await wait_until(lambda: streams.peek_unread(stream) == first)
             now[0] += 5.0
--- a/thornladder/measures/rollout.py
+++ b/thornladder/measures/rollout.py
@@ -16,7 +16,7 @@
 from thornladder.interface import Invocation
 from thornladder.measures.points import Points
 from thornladder.node.exchange import Exchange
-from thornladder.node.messages import ClientResponse, FinalOutcome, UpstreamRequest
+from thornladder.node.messages import ClientResponse, FinalOutcome, PackedHeaders, UpstreamRequest
 from thornladder.rig import play
 from thornladder.rig.faults import Fault
 from thornladder.rig.play import DRIVER, BackendReplacement, Load, RolloutSpec, Scenario
@@ -208,7 +208,7 @@
     counters = Counters()
     counters.target_seconds = {"look": 0.2}
     counting_handler, _ = counters.wrap(InstantHandler(), lambda *args: None)
-    message = UpstreamRequest("GET", "/look", [], b"")
+    message = UpstreamRequest(b"GET", b"/look", PackedHeaders(b""), b"")
     overheads_us = []
     for _ in range(rounds):
         mean_seconds = []
--- a/thornladder/node/backends/pushes.py
+++ b/thornladder/node/backends/pushes.py
@@ -202,6 +202,8 @@
         except Exception:
             self.log.exception("the end of a push could not be reported")
             exchange.finish(ClientResponse(FinalOutcome.TERMINATED))  # nothing else will answer it
+        if answer is not None and answer.reservation is not None and exchange.answer is not answer:
+            answer.reservation.release()  # nobody waits for this answer
 
     def start_probe(self, backend: str) -> None:
         """Starts a probe of a backend; its end is reported to the listener."""
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -12,11 +12,18 @@
 from thornladder.node import messages, streams
 from thornladder.node.clients.closures import CloseReason
 from thornladder.node.clients.server_state import ServerState
-from thornladder.node.clients.upload import Upload
+from thornladder.node.clients.upload import Upload, may_be_unread
 from thornladder.node.exchange import Exchange
-from thornladder.node.flow import BodyPipe, limit_kernel_buffers
-from thornladder.node.messages import MAX_BODY_BYTES, MAX_BUFFERED_BYTES, BadRequest, ClientResponse
-from thornladder.node.streams import STREAM_CLOSED_ERRORS
+from thornladder.node.flow import BODY_PIPE_BYTES, CHUNKED_BODY_BYTES, BodyPipe, limit_kernel_buffers
+from thornladder.node.memory_budget import Reservation
+from thornladder.node.messages import (
+    MAX_BODY_BYTES,
+    MAX_BUFFERED_BYTES,
+    BadRequest,
+    ClientResponse,
+    RequestHead,
+)
+from thornladder.node.streams import MAX_READ_BYTES, SMALL_READ_BYTES, STREAM_CLOSED_ERRORS
 
 
 class ClientConnection:
@@ -29,6 +36,12 @@
     # For the client to read its last response and close.
     LINGER_SECONDS = 0.3
     LINGER_POLL_SECONDS = 0.05
+    # What an unfinished request head takes, unparsed and parsed, where it is no small one.
+    HEAD_BYTES = 64 * 1024
+    # A wait for memory ends this long before the client's time.
+    MEMORY_WAIT_MARGIN_SECONDS = 0.05
+    MAX_HEAD_WAIT_SECONDS = 0.25  # for memory, where the client's time is not known
+    MEMORY_POLL_SECONDS = 0.1  # between looks at whether a request that waits for memory has come whole
     # While `closing`, this much is read and dropped so that no TCP reset overtakes the last response; after
     # that, reading stops.
     MAX_DISCARDED_BYTES = 256 * 1024
@@ -57,8 +70,16 @@
         self.stream, self.server_state = stream, server_state
         self.initial_data, self.unread_seconds = initial_data, unread_seconds
         self.http = h11.Connection(h11.SERVER)
-        self.request: h11.Request | None = None
+        self.request: RequestHead | None = None
+        self.request_length: int | None = None  # of the current request's body; None if it is chunked
         self.body = bytearray()
+        # Memory that the current request takes beyond a small one, and the present wait for it.
+        self.request_room = Reservation(server_state.memory_budget)
+        self.room_scope = anyio.CancelScope()
+        # Memory that an answer takes which the kernel has not taken yet.
+        self.answer_room: Reservation | None = None
+        # Unsent bytes when they were last seen to change, and when that was.
+        self.unsent_seen, self.last_write_progress = 0, server_state.clock()
         # `upload` and `download` as seen from the client: the bodies of the current request and response, if
         # they are streamed.
         self.upload: Upload | None = None
@@ -117,6 +138,8 @@
         finally:
             self._leave_client_pool()
             self._finish_upload(False)
+            self.request_room.release()
+            self._release_answer()
             if self.exchange is not None:
                 self._log_unanswered(self.exchange)
                 self.server_state.handler.client_disconnected(self.exchange)
@@ -207,8 +230,8 @@
             return
         if self.exchange is not None:
             return
-        if self.outbox or self.closing or self.download is not None:
-            if now - self.last_activity > self.DOWNLOAD_STALL_SECONDS and self.awaiting_client:
+        if self._has_unwritten:
+            if self.seconds_without_write(now) > self.DOWNLOAD_STALL_SECONDS and self.awaiting_client:
                 self.scope.cancel()
         elif self.idle:
             timeout = idle_timeout if self.request_seen else self.RECEIVE_TIMEOUT_SECONDS
@@ -223,6 +246,45 @@
             # Ends slow-loris requests: the time counts from `message_started_at`.
             self._reject(408, "it did not come whole")
 
+    @property
+    def _has_unwritten(self) -> bool:
+        """Whether an answer, or the end of the connection, has not been taken by the client yet."""
+        has_answer = self.outbox or self.download is not None or streams.unsent_bytes(self.stream)
+        return bool(has_answer) or self.closing
+
+    def seconds_without_write(self, now: float) -> float:
+        """For how long the client has taken nothing of what there is for it.
+
+        A slow reader may take less than one part of an answer in any fixed time.
+        """
+        unsent = streams.unsent_bytes(self.stream)
+        if unsent != self.unsent_seen:
+            self.unsent_seen, self.last_write_progress = unsent, now
+        return now - max(self.last_write_progress, self.last_activity)
+
+    def reclaimable_bytes(self, now: float, request_stall: float, answer_stall: float) -> int:
+        """The reserved memory of a request or answer that has stood still for over so many seconds."""
+        if self.exchange is not None or self.upload is not None or self.closing:
+            return 0
+        if self.answer_room is not None or self.download is not None:
+            is_stalled = self.awaiting_client and self.seconds_without_write(now) > answer_stall
+            room = BODY_PIPE_BYTES if self.answer_room is None else self.answer_room.size
+            return room if is_stalled else 0
+        return self.request_room.size if now - self.last_activity > request_stall else 0
+
+    def reclaim(self) -> None:
+        """Gives up a stalled request or answer, whose memory others wait for."""
+        if self.answer_room is not None or self.download is not None:
+            streams.reset(self.stream)  # its client can tell that the answer is not whole
+            self.scope.cancel()
+        else:
+            self._reject(503, "no memory for a request that does not go on")
+
+    def _release_answer(self) -> None:
+        if self.answer_room is not None:
+            self.answer_room.release()
+            self.answer_room = None
+
     def _upload_too_slow(self, now: float) -> bool:
         waited = self.read_wait_seconds + (now - self.read_started_at if self.read_started_at else 0.0)
         return waited > self.RECEIVE_TIMEOUT_SECONDS + self.received_bytes / self.MIN_BODY_BYTES_PER_SECOND
@@ -236,8 +298,7 @@
     async def _read_loop(self) -> None:
         discarded = 0
         while True:
-            if self.upload is not None:
-                self.upload.before_read(self.received_bytes)
+            await self._prepare_read()
             try:
                 self.read_started_at = self.server_state.clock()
                 data = self.initial_data or await self.stream.receive()
@@ -282,23 +343,88 @@
             self.http.receive_data(data)
             if self.download is not None and len(self.http.trailing_data[0]) > MAX_BUFFERED_BYTES:
                 return  # the client has sent too much while its response is still being streamed
+            if self._reject_too_many_fields():
+                continue
             self._process_events()
             await self._forward_upload()
 
+    async def _prepare_read(self) -> None:
+        """Waits for the memory that the next read may take, and limits the read to it.
+
+        Without a reservation a connection reads little at a time, and little in all before it has one.
+        """
+        if not self.closing and not self.discarding:
+            await (self._reserve_upload() if self.upload is not None else self._reserve_request())
+        may_be_large = self.request_room.size > 0
+        streams.limit_reads(self.stream, MAX_READ_BYTES if may_be_large else SMALL_READ_BYTES)
+
+    async def _reserve_upload(self) -> None:
+        upload = self.upload
+        assert upload is not None
+        upload.before_read(self.received_bytes)
+        if upload.awaiting_client:
+            return
+        had_to_wait = await upload.wait_for_room()
+        if had_to_wait and self.upload is upload and self._client_left():
+            self.scope.cancel()  # the request must not run any more
+
+    async def _reserve_request(self) -> None:
+        """Reserves memory for the rest of a request; one that finds none in time is refused."""
+        wanted = self._wanted_bytes()
+        if wanted <= self.request_room.size:
+            return
+        max_wait = self._max_room_wait()
+        while wanted > self.request_room.size and not self.closing:
+            with anyio.move_on_after(max_wait) as self.room_scope:
+                await self.request_room.grow_to(wanted)
+            if self.room_scope.cancelled_caught and not self.closing and self._may_be_received():
+                self.server_state.memory_refusals += 1
+                self._reject(503, "no memory for this request")
+            max_wait = self.MEMORY_POLL_SECONDS
+
+    def _may_be_received(self) -> bool:
+        """Whether the client may have written all of the current request, so that its time counts."""
+        if self.request is None:
+            return True
+        missing = None if self.request_length is None else self.request_length - len(self.body)
+        return may_be_unread(self.stream, missing)
+
+    def _wanted_bytes(self) -> int:
+        """What the current request may take before it is handled or streamed; 0 if it is a small one."""
+        if self.exchange is not None or self.download is not None:
+            return 0
+        if self.request is None:
+            unparsed = len(self.http.trailing_data[0])
+            return self.HEAD_BYTES if unparsed > SMALL_READ_BYTES else 0
+        if self.request_length is not None:
+            return 2 * self.request_length if self.request_length > SMALL_READ_BYTES else 0
+        return CHUNKED_BODY_BYTES if len(self.body) >= SMALL_READ_BYTES else 0
+
+    def _max_room_wait(self) -> float:
+        """Seconds for which the current request may wait for memory."""
+        if self.request is None:
+            return self.MAX_HEAD_WAIT_SECONDS
+        decoded = messages.decode_invocation(self.request, b"", self.server_state.offerings)
+        if isinstance(decoded, BadRequest):
+            return self.MAX_HEAD_WAIT_SECONDS
+        return max(decoded[0].time_left - self.MEMORY_WAIT_MARGIN_SECONDS, 0.0)
+
+    def _reject_too_many_fields(self) -> bool:
+        """Rejects a request head with more fields than are parsed; returns whether it did."""
+        is_head = self.request is None and self.download is None and not self.closing
+        if is_head and messages.has_too_many_fields(self.http.trailing_data[0]):
+            self._reject(431, "too many header fields")
+        return self.closing
+
     async def _forward_upload(self) -> None:
         """Passes received parts of a streamed body to its pipe.
 
-        Blocks the reading task while there is no room for them or the pipe is full (backpressure);
-        `_watch_upload` ends that in time.
+        Blocks the reading task while the pipe is full (backpressure); `_watch_upload` ends that in time.
         """
         async with self.upload_lock:
             upload = self.upload
             if upload is None:
                 return
-            had_to_wait = await upload.wait_for_room()
-            if had_to_wait and self.upload is upload and self._client_left():
-                self.scope.cancel()  # the request must not run any more
-                return
             if upload.pending_parts and self._client_left():
                 self.scope.cancel()  # the request must not run any more
                 return
@@ -351,6 +477,9 @@
                     await self.stream.send(self.outbox[0])
                     self.outbox.popleft()
                     self.last_activity = self.server_state.clock()
+                if self.answer_room is not None and self.download is None:
+                    await self.stream.send(b"")  # waits until the kernel has taken the answer
+                    self._release_answer()
                 if self.download is not None:
                     await self._stream_response(self.download)
                 if self.closing and not self.outbox:
@@ -414,13 +543,16 @@
                     self._send(self.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
                 return
             if isinstance(event, h11.Request):
-                self.request = event
+                self.request = RequestHead(event)
                 self.body.clear()
                 self.received_bytes = 0
                 head = unparsed[: len(unparsed) - len(self.http.trailing_data[0])]
+                framing = dict(event.headers)
+                is_chunked = b"transfer-encoding" in framing
+                self.request_length = None if is_chunked else int(framing.get(b"content-length", b"0"))
                 if bad_request := messages.check_head(event, head):
                     self._reject(bad_request.status, bad_request.message)
-                elif int(dict(event.headers).get(b"content-length", b"0")) > MAX_BUFFERED_BYTES:
+                elif (self.request_length or 0) > MAX_BUFFERED_BYTES:
                     self._start_streaming()
             elif isinstance(event, h11.Data):
                 self._receive_body_part(event.data)
@@ -466,15 +598,17 @@
         self._note_request()
         pipe = BodyPipe()
         pipe.producer_left = self._client_left
-        decoded = messages.decode_invocation(request, bytes(self.body), self.server_state.offerings, pipe)
+        decoded = messages.decode_invocation(request, b"", self.server_state.offerings, pipe)
         if isinstance(decoded, BadRequest):
             self._reject(decoded.status, decoded.message)
             return
         limit_kernel_buffers(self.stream)
         self.upload = Upload(
-            pipe, decoded[1].length, self.stream, self.server_state.memory_budget, self.server_state.clock,
+            pipe, decoded[1].length, self.stream, self.request_room, self.server_state.clock,
             self.unread_seconds,
         )  # fmt: skip
+        if self.body:
+            self.upload.pending_parts.append(bytes(self.body))
         self.body.clear()
         self.exchange = Exchange(*decoded, self._deliver, self.unread_seconds, self._client_left)
         self.unread_seconds = 0.0
@@ -506,6 +640,7 @@
             )
             return
         decoded = messages.decode_invocation(request, bytes(self.body), self.server_state.offerings)
+        self.body.clear()
         if isinstance(decoded, BadRequest):
             self._respond(
                 *messages.encode_text_response(
@@ -555,7 +690,7 @@
 
     def _deliver(self, answer: ClientResponse) -> None:
         """Sends the final response to the current invocation."""
-        self.exchange = None
+        self.exchange, self.answer_room = None, answer.reservation
         try:
             self._respond(
                 *messages.encode_client_response(answer, self._is_last_response()),
@@ -575,6 +710,8 @@
         head_only = self.request is not None and self.request.method == b"HEAD"
         self.request = None
         self.body.clear()
+        self.room_scope.cancel()
+        self.request_room.release()
         if self.upload is not None:
             # Unless the connection is closing, the rest of the request is read and dropped: closing while the
             # client sends causes a reset that can overtake the response.
@@ -604,5 +741,6 @@
             self.last_activity = self.server_state.clock()
         elif data:
             self.outbox.append(data)
-        if self.outbox or self.closing or self.http.trailing_data[0]:
+        has_more_to_do = self.closing or self.answer_room is not None or bool(self.http.trailing_data[0])
+        if self.outbox or has_more_to_do:
             self.write_event.set()
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -6,7 +6,6 @@
 import math
 import socket
 from collections.abc import Callable
-from contextlib import suppress
 from typing import Any
 
 import anyio
@@ -17,6 +16,7 @@
 from thornladder.node.clients.connection import ClientConnection
 from thornladder.node.clients.server_state import ServerState
 from thornladder.node.shutdown import ShutdownSchedule
+from thornladder.node.streams import open_stream
 from thornladder.node.tasks import Tasks
 
 
@@ -32,11 +32,15 @@
     NEAR_LIMIT_SHARE = 0.9
     BACKLOG = 1024  # connections that the kernel may queue before this node accepts them
     IDLE_TIMEOUT_SECONDS = 10.0  # lets clients with occasional requests reuse their connections
-    # Accepted beyond the limit, where a request is refused at once: without it, requests would wait unread in
-    # the kernel's queue for as long as all connections are busy. They use spare descriptors.
+    # Beyond the limit a request is refused at once: it would wait unread in the kernel's queue for as long as
+    # all connections are busy. So many that have sent nothing yet are waited for, on spare descriptors.
     MAX_EXTRA_CONNECTIONS = 8
-    FIRST_READ_BYTES = 65536  # as much as later reads take at once
+    MAX_QUEUE_SECONDS = 0.1  # for which the queue waits for room to be made
     FIRST_BYTE_GRACE_SECONDS = 0.1  # for a client that connects in order to send a request at once
+    # Requests and answers that do not move on for so long give way once others have waited for memory.
+    MEMORY_WAIT_SECONDS = 0.1
+    REQUEST_STALL_SECONDS = 0.5
+    ANSWER_STALL_SECONDS = 3.0
     # At rest, after which clients expect that a connection is closed: an earlier close crosses more requests.
     # It holds in standby, while clients use too many connections, and while over half of the limit is in use.
     EXPECTED_IDLE_SECONDS = 2.0
@@ -60,6 +64,7 @@
         )
         self.connections: set[ClientConnection] = set()
         self.connection_count = 0  # `connections`, and accepted sockets not yet among them
+        self.full_since = 0.0  # when there was last room for another connection
         self.is_open = False  # whether new connections are accepted
         self.accepting = False  # whether `run` accepts connections, or those that are still queued
         self.listener: socket.socket | None = None  # None until `run` is called
@@ -118,16 +123,19 @@
     def _may_accept(self) -> bool:
         """Whether another connection may be accepted, if only to refuse its request.
 
-        Beyond the limit the queue waits while room can be made: idle connections are closed for it, silent
-        ones once they are `FIRST_BYTE_GRACE_SECONDS` old.
+        Beyond the limit the queue waits for a moment while room can be made: idle connections are closed for
+        it, silent ones once they are `FIRST_BYTE_GRACE_SECONDS` old. It does not wait for longer, as requests
+        in it would be answered late.
         """
+        now = self.server_state.clock()
         if self.connection_count < self.max_connections:
+            self.full_since = now
             return True
-        if self.connection_count >= self.max_connections + self.MAX_EXTRA_CONNECTIONS:
-            return False
-        return self.server_state.draining or not any(
-            connection.idle and not connection.closing for connection in self.connections
-        )
+        if self.server_state.draining:
+            return self.connection_count < self.max_connections + self.MAX_EXTRA_CONNECTIONS
+        if now - self.full_since > self.MAX_QUEUE_SECONDS:
+            return True
+        return not any(connection.idle and not connection.closing for connection in self.connections)
 
     async def _accept_until_quiet(self, listener: socket.socket) -> None:
         """Accepts connections until none has come for ACCEPT_QUIET_SECONDS."""
@@ -166,8 +174,9 @@
     def _refuse_connection(self, client_socket: socket.socket) -> None:
         """Refuses the request of a new connection, if any of it has arrived, and closes the connection."""
         if self._read_initial(client_socket):
-            self._send_nack(client_socket)
-        client_socket.close()
+            streams.answer_and_close(client_socket, messages.encode_nack(0.0, True))
+        else:
+            client_socket.close()
 
     def _take_connection(self, client_socket: socket.socket) -> None:
         """Serves an accepted connection in a task of its own, or refuses its request at once."""
@@ -178,17 +187,18 @@
         is_lagging = bool(initial_data) and self.server_state.is_lagging()
         unread_seconds = streams.seconds_since_last_data(client_socket) if is_lagging else 0.0
         if nack := self._early_nack(initial_data, is_lagging, unread_seconds):
-            with suppress(OSError):
-                client_socket.send(nack)  # fits the empty send buffer of a new connection
-            client_socket.close()
+            streams.answer_and_close(client_socket, nack)
+            return
+        if self.connection_count >= self.max_connections + self.MAX_EXTRA_CONNECTIONS:
+            client_socket.close()  # it has sent nothing, and there is no descriptor to wait for it with
             return
         self.connection_count += 1
         self.tasks.start("a client's connection", self._serve, client_socket, initial_data, unread_seconds)
 
     def _early_nack(self, initial_data: bytes, is_lagging: bool, unread_seconds: float) -> bytes | None:
         """The encoded nack for a new connection's request, if it is refused without being served."""
-        if self.connection_count >= self.max_connections:
-            return self.server_state.early_shedder.refuse(initial_data, True)
+        if self.connection_count >= self.max_connections and initial_data:
+            return messages.encode_nack(0.0, True)
         if is_lagging:
             return self.server_state.early_shedder.nack(initial_data, unread_seconds, True)
         return None
@@ -202,7 +212,7 @@
         client_socket.setblocking(False)
         initial_data = b""
         try:
-            initial_data = client_socket.recv(self.FIRST_READ_BYTES)
+            initial_data = client_socket.recv(streams.SMALL_READ_BYTES)
             return initial_data if initial_data and client_socket.recv(1, socket.MSG_PEEK) else None
         except (BlockingIOError, InterruptedError):
             return initial_data
@@ -227,7 +237,7 @@
     async def _set_up(self, client_socket: socket.socket, initial_data: bytes) -> SocketStream:
         """Hands an accepted socket to the event loop; whatever prevents that, its request is refused."""
         try:
-            return streams.limit_reads(await SocketStream.from_socket(client_socket))
+            return await open_stream(client_socket)
         except BaseException:  # among others the end of the process
             self._close_unserved(client_socket, initial_data)
             raise
@@ -235,13 +245,9 @@
     def _close_unserved(self, client_socket: socket.socket, initial_data: bytes) -> None:
         """Closes a connection that could not be set up; what was read of a request is refused."""
         if initial_data:
-            self._send_nack(client_socket)
-        client_socket.close()
-
-    def _send_nack(self, client_socket: socket.socket) -> None:
-        """Refuses a request, of which nothing has run, on a connection that is about to be closed."""
-        with suppress(OSError):
-            client_socket.send(messages.encode_nack(0.0, True))  # fits an empty send buffer
+            streams.answer_and_close(client_socket, messages.encode_nack(0.0, True))
+        else:
+            client_socket.close()
 
     async def drain(self, schedule: ShutdownSchedule, end_unanswered: Callable[[], None]) -> None:
         """Accepts late connections, then closes idle ones, until each request received has its answer.
@@ -333,9 +339,28 @@
             self._run_isolated(connection, connection.enforce_timeouts, now, idle_timeout)
         if self.connection_count > self.NEAR_LIMIT_SHARE * self.max_connections:
             self._make_room()
+        self._reclaim_memory(now)
         self.server_state.closures.flush()
         self.server_state.client_pool.log_changes()
 
+    def _reclaim_memory(self, now: float) -> None:
+        """Ends stalled requests and answers whose memory others wait for, those that hold most first."""
+        budget = self.server_state.memory_budget
+        if budget.longest_wait_seconds < self.MEMORY_WAIT_SECONDS:
+            return
+        stalls = self.REQUEST_STALL_SECONDS, self.ANSWER_STALL_SECONDS
+        held = [(connection.reclaimable_bytes(now, *stalls), connection) for connection in self.connections]
+        missing, count = budget.wanted, 0
+        for size, connection in sorted(held, key=lambda pair: pair[0], reverse=True):
+            if size <= 0 or missing <= 0:
+                break
+            self._run_isolated(connection, connection.reclaim)
+            missing -= size
+            count += 1
+        if count:
+            self.server_state.memory_refusals += count
+            self.server_state.log.info("stalled messages given up for memory", count=count, used=budget.used)
+
     def _trim_client_pool(self, now: float) -> None:
         """Closes the longest idle connections while clients use more than their target.
 
--- a/thornladder/node/clients/server_state.py
+++ b/thornladder/node/clients/server_state.py
@@ -66,6 +66,7 @@
         self.set_offerings(offerings)
         self.shutdown: ShutdownSchedule | None = None  # set once this process has been told to end
         self.standby = False
+        self.memory_refusals = 0  # requests refused, and given up, for want of memory
         self.has_successor = False  # another process of this node accepts on the same listening socket
 
     @property
--- a/thornladder/node/clients/upload.py
+++ b/thornladder/node/clients/upload.py
@@ -10,17 +10,34 @@
 from anyio.abc import SocketStream
 
 from thornladder.node import streams
-from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe
-from thornladder.node.memory_budget import MemoryBudget
+from thornladder.node.flow import BODY_PIPE_BYTES, KERNEL_BUFFER_BYTES, BodyPipe
+from thornladder.node.memory_budget import Reservation
+
+# Unread data from which on the kernel may let the client send no more.
+FULL_WINDOW_BYTES = KERNEL_BUFFER_BYTES // 4
+# The most of a body that may be in the kernels of both sides: unread here, and written but not sent there.
+MAX_UNREAD_BYTES = streams.MAX_PEEK_BYTES + 4 * 2**20
+
+
+def may_be_unread(stream: SocketStream, missing: int | None) -> bool:
+    """Whether its client may have written the rest of a body, of `missing` bytes or, if None, in chunks."""
+    if missing is not None and missing > MAX_UNREAD_BYTES:
+        return False
+    unread = streams.peek_unread(stream)
+    if unread is None or len(unread) >= FULL_WINDOW_BYTES:
+        return True  # what its machine cannot send yet is not here
+    if missing is not None:
+        return len(unread) >= missing
+    return unread.endswith(b"\n")  # as a last chunk and its trailers do
 
 
 class Upload:
     """A streamed request body: what has been read and is not passed on yet, and how long that takes.
 
-    Room in the body budget is reserved only while parts of the body wait for the backend, not while the node
-    waits for the client. The body is held back while it waits for room, or for its backend. The node reads no
-    more of it meanwhile, so its last byte, from which on the client's time counts, may have been received
-    without having been read.
+    Room in the memory budget is reserved before more than a small part is read, and only while parts of the
+    body wait for the backend, not while the node waits for the client. The body is held back while it waits
+    for room, or for its backend. The node reads no more of it meanwhile, so its last byte, from which on the
+    client's time counts, may have been received without having been read.
     """
 
     def __init__(
@@ -28,17 +45,19 @@
         pipe: BodyPipe,
         length: int | None,
         stream: SocketStream,
-        memory_budget: MemoryBudget,
+        room: Reservation,
         clock: Callable[[], float],
         unread_seconds: float,
     ) -> None:
-        """`length`: by Content-Length, None if chunked. `unread_seconds`: how long its start lay unread."""
+        """`length`: by Content-Length, None if chunked. `unread_seconds`: how long its start lay unread.
+
+        `room`: what is reserved for the request.
+        """
         self.pipe, self.length, self.stream = pipe, length, stream
-        self.memory_budget, self.clock = memory_budget, clock
+        self.room, self.clock = room, clock
         self.pending_parts: deque[bytes] = deque()  # read, but not yet passed to `pipe`
         self.read_whole = False  # whether the last byte has been read
         self.finished = False
-        self.has_room = False
         self.unconsumed_parts = 0  # passed to `pipe`, and not yet taken by the backend
         self.held_since: float | None = None  # since when the present part waits to be passed on
         self.awaiting_client = False  # whether all that was received has been read and passed on
@@ -81,32 +100,22 @@
 
         If it cannot have been, the client's time has not begun.
         """
-        if self.read_whole or self._may_be_unread(read_bytes):
+        missing = None if self.length is None else self.length - read_bytes
+        if self.read_whole or may_be_unread(self.stream, missing):
             return True
         self.received_after = self.clock()
         return False
 
-    def _may_be_unread(self, read_bytes: int) -> bool:
-        if self.length is not None and self.length - read_bytes > streams.MAX_PEEK_BYTES:
-            return False
-        unread = streams.peek_unread(self.stream)
-        if unread is None or len(unread) >= streams.MAX_PEEK_BYTES:
-            return True
-        if self.length is not None:
-            return len(unread) >= self.length - read_bytes
-        return unread.endswith(b"\n")  # as a last chunk and its trailers do
-
     async def wait_for_room(self) -> bool:
-        """Waits for room for what has been read, unless the upload ends; returns whether it had to."""
-        if self.has_room or self.finished or not self.pending_parts:
+        """Waits for room for what is read next, unless the upload ends; returns whether it had to."""
+        if self.finished:
             return False
-        must_wait = not self.memory_budget.has_room(BODY_PIPE_BYTES, self)
+        must_wait = self.room.must_wait_for(BODY_PIPE_BYTES)
         self.held_since = self.clock()
         with anyio.CancelScope() as self.forward_scope:
-            await self.memory_budget.acquire(BODY_PIPE_BYTES, self)
-            self.has_room = True
+            await self.room.grow_to(BODY_PIPE_BYTES)
             if self.finished:
-                self._release_room()
+                self.room.release()
         self.held_since = None
         return must_wait
 
@@ -115,8 +124,10 @@
         with anyio.CancelScope() as self.forward_scope:
             while self.pending_parts:
                 self.held_since = self.clock()
+                part = b"".join(self.pending_parts)
+                self.pending_parts.clear()
                 self.unconsumed_parts += 1
-                await self.pipe.send(self.pending_parts.popleft())
+                await self.pipe.send(part)
         self.held_since = None
 
     def finish(self, complete: bool) -> None:
@@ -126,14 +137,9 @@
         self.pending_parts.clear()
         self.forward_scope.cancel()
         self.watch_scope.cancel()
-        self._release_room()
+        self.room.release()
 
     def _on_consumed(self) -> None:
         self.unconsumed_parts -= 1
         if not self.unconsumed_parts and not self.pending_parts:
-            self._release_room()
-
-    def _release_room(self) -> None:
-        if self.has_room:
-            self.has_room = False
-            self.memory_budget.release(BODY_PIPE_BYTES, self)
+            self.room.release()
--- a/thornladder/node/connecting.py
+++ b/thornladder/node/connecting.py
@@ -11,6 +11,7 @@
 import anyio
 from anyio.abc import SocketStream
 
+from thornladder.node import streams
 from thornladder.settings import Address
 
 
@@ -67,8 +68,5 @@
 
 async def _to_stream(connected: socket.socket) -> SocketStream:
     """Hands a connected socket to the event loop. Raises OSError if the other side has reset it."""
-    try:
-        with anyio.CancelScope(shield=True):
-            return await SocketStream.from_socket(connected)
-    except ValueError as error:  # anyio's way to say that a socket is not connected
-        raise ConnectionResetError(str(error)) from error
+    with anyio.CancelScope(shield=True):
+        return await streams.open_stream(connected)
--- a/thornladder/node/flow.py
+++ b/thornladder/node/flow.py
@@ -12,7 +12,9 @@
 from thornladder.node import streams
 
 # Memory counted for one streamed body: a part here, one in each transport, and as much again in h11.
-BODY_PIPE_BYTES = 256 * 1024
+BODY_PIPE_BYTES = 4 * streams.MAX_READ_BYTES
+# Memory counted for a body without a length until it is streamed: it is here twice, with one read beyond it.
+CHUNKED_BODY_BYTES = 2 * 64 * 1024 + streams.MAX_READ_BYTES
 KERNEL_BUFFER_BYTES = 64 * 1024  # for a streamed body, in each direction of each of its sockets
 
 
--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -11,9 +11,9 @@
 import h11
 from anyio.abc import SocketStream
 
-from thornladder.node import connecting, streams
-from thornladder.node.flow import BODY_PIPE_BYTES, BodyPipe, limit_kernel_buffers
-from thornladder.node.memory_budget import MemoryBudget
+from thornladder.node import connecting, messages, streams
+from thornladder.node.flow import BODY_PIPE_BYTES, CHUNKED_BODY_BYTES, BodyPipe, limit_kernel_buffers
+from thornladder.node.memory_budget import MemoryBudget, Reservation
 from thornladder.node.messages import MAX_BUFFERED_BYTES, UpstreamRequest, UpstreamResponse
 from thornladder.node.streams import STREAM_CLOSED_ERRORS, has_unread_data
 from thornladder.settings import Address
@@ -59,15 +59,16 @@
         on_held: Callable[[], None] | None,
     ) -> None:
         """`head_only`: the request is a HEAD. Without `on_streaming` every body is buffered."""
-        self.head_only, self.max_body_bytes, self.on_streaming, self.memory_budget, self.on_held = (
-            head_only, max_body_bytes, on_streaming, memory_budget, on_held
+        self.head_only, self.max_body_bytes, self.on_streaming, self.on_held = (
+            head_only, max_body_bytes, on_streaming, on_held
         )  # fmt: skip
         self.head: h11.Response | None = None
         self.declared_length: int | None = None  # by Content-Length, even where the body is chunked
         self.is_chunked = False
-        self.parts: list[bytes] = []
+        self.body = bytearray()  # what of it is not streamed
         self.size = 0  # bytes received so far
-        self.budget_acquired = False
+        # Memory for what is read beyond a small answer; None: not counted.
+        self.room = None if memory_budget is None else Reservation(memory_budget)
         self.body_pipe: BodyPipe | None = None
         self.complete = False
         self.head_received_at = 0.0
@@ -109,6 +110,34 @@
         self.is_chunked = b"transfer-encoding" in framing
         return self.head_only or self.length is None or self.length <= self.max_body_bytes
 
+    @property
+    def wanted_bytes(self) -> int:
+        """What is to be reserved before more is read: the body is here twice while it is put together."""
+        if not self.is_ok:
+            return 0
+        if self.body_pipe is not None:
+            return BODY_PIPE_BYTES
+        if self.length is not None:
+            return 2 * min(self.length, MAX_BUFFERED_BYTES) if self.length > streams.SMALL_READ_BYTES else 0
+        if self.size <= streams.SMALL_READ_BYTES:
+            return 0
+        return CHUNKED_BODY_BYTES
+
+    async def prepare_read(self, connection: UpstreamConnection) -> None:
+        """Waits for the memory that the next read may take, and limits the read to it."""
+        await self._reserve(self.wanted_bytes)
+        may_be_large = self.room is None or self.room.size > 0
+        max_bytes = streams.MAX_READ_BYTES if may_be_large else streams.SMALL_READ_BYTES
+        streams.limit_reads(connection.stream, max_bytes)
+
+    async def _reserve(self, size: int) -> None:
+        if self.room is None or size <= self.room.size:
+            return
+        if self.on_held is not None and self.room.must_wait_for(size):
+            self.on_held()
+            self.on_held = None  # it is said once
+        await self.room.grow_to(size)
+
     def read_timeout(self) -> float | None:
         """Seconds to wait for more data, or None for no limit.
 
@@ -118,7 +147,7 @@
             return UpstreamConnection.STREAM_STALL_TIMEOUT_SECONDS
         if self.ends_with_connection:
             return None
-        if self.on_streaming is None or not self.is_ok or self.length is not None or not self.parts:
+        if self.on_streaming is None or not self.is_ok or self.length is not None or not self.body:
             return None
         return max(
             self.head_received_at + UpstreamConnection.UNKNOWN_LENGTH_BUFFER_SECONDS - anyio.current_time(),
@@ -129,9 +158,9 @@
         """Takes a part of the body; returns False if it is streamed and its client has left."""
         if self.body_pipe is not None:
             return await self.body_pipe.send(data)
-        # The beginning is enough of a body that is not passed on.
-        if self.is_ok or self.size <= MAX_BUFFERED_BYTES:
-            self.parts.append(data)
+        # Of a body that is not passed on nothing is needed.
+        if self.is_ok or (self.room is None and self.size <= MAX_BUFFERED_BYTES):
+            self.body += data
         if self.should_stream or self._is_slow_without_length:
             await self.start_streaming(connection)
         return True
@@ -148,33 +177,31 @@
 
     async def start_streaming(self, connection: UpstreamConnection) -> None:
         """Hands the response to its client, with what has arrived of the body; the rest follows."""
-        if self.memory_budget is not None:
-            if self.on_held is not None and not self.memory_budget.has_room(BODY_PIPE_BYTES, connection):
-                self.on_held()
-            await self.memory_budget.acquire(BODY_PIPE_BYTES, connection)
-            self.budget_acquired = True
+        await self._reserve(BODY_PIPE_BYTES)
         limit_kernel_buffers(connection.stream)
         assert self.head is not None and self.on_streaming is not None
         self.body_pipe = BodyPipe()
         self.on_streaming(
-            UpstreamResponse(200, list(self.head.headers), b"".join(self.parts), self.body_pipe, self.length)
+            UpstreamResponse(200, list(self.head.headers), bytes(self.body), self.body_pipe, self.length)
         )
-        self.parts.clear()
+        self.body.clear()
 
     def finish(self) -> UpstreamResponse:
         """Returns the response, whose last byte has been read."""
         assert self.head is not None
         self.complete = True
-        return UpstreamResponse(
-            self.head.status_code, list(self.head.headers), b"".join(self.parts), self.body_pipe
-        )
-
-    def close(self, connection: UpstreamConnection) -> None:
-        """Ends the stream to the client, if there is one, and gives its budget back."""
+        reservation = None
+        if self.body_pipe is None and self.room is not None and self.room.size:
+            reservation, self.room = self.room, None  # kept until the answer is written
+        body, headers = bytes(self.body), list(self.head.headers)
+        return UpstreamResponse(self.head.status_code, headers, body, self.body_pipe, reservation=reservation)
+
+    def close(self) -> None:
+        """Ends the stream to the client, if there is one, and gives its memory back."""
         if self.body_pipe is not None:
             self.body_pipe.finish(self.complete)
-        if self.budget_acquired and self.memory_budget is not None:
-            self.memory_budget.release(BODY_PIPE_BYTES, connection)
+        if self.room is not None:
+            self.room.release()
 
 
 class UpstreamConnection:
@@ -230,7 +257,7 @@
             if len(data) > self.SINGLE_WRITE_BYTES:
                 # A write that is given up while still in progress may yet reach the backend whole. So the
                 # last byte is sent apart: before it the request cannot have run, from it on it may have.
-                await self.stream.send(data[:-1])
+                await self.stream.send(memoryview(data)[:-1])
                 data, self.stage = data[-1:], Stage.SENT
             if self.stage is Stage.SENT or not streams.try_write(self.stream, data):
                 await self.stream.send(data)
@@ -241,7 +268,7 @@
         except h11.LocalProtocolError:
             return Failure(self.stage, Cause.ABANDONED)  # it cannot be encoded, so nothing was written
         finally:
-            self.response.close(self)
+            self.response.close()
 
     async def _round_trip_streaming(
         self, request: h11.Request, message: UpstreamRequest, body_pipe: BodyPipe
@@ -303,12 +330,15 @@
             event = self.http.next_event()
             if event is h11.NEED_DATA:
                 data = b""  # empty data tells h11 that the stream has ended
+                await response.prepare_read(self)
                 with suppress(anyio.EndOfStream), anyio.move_on_after(response.read_timeout()) as read_scope:
                     data = await self.stream.receive()
                 if not read_scope.cancelled_caught:
                     if not data and response.ends_with_connection and not streams.ended_in_order(self.stream):
                         return self._connection_lost()
                     self.http.receive_data(data)
+                    if response.head is None and messages.has_too_many_fields(self.http.trailing_data[0]):
+                        return self._malformed()
                 elif response.body_pipe is not None:
                     return Failure(self.stage, Cause.BROKEN)
                 else:
@@ -349,7 +379,7 @@
 async def connect(address: Address, timeout: float) -> UpstreamConnection | Failure:
     """Opens a connection within `timeout` seconds."""
     try:
-        return UpstreamConnection(streams.limit_reads(await connecting.connect(address, timeout)))
+        return UpstreamConnection(await connecting.connect(address, timeout))
     except OSError:  # includes TimeoutError
         return Failure(Stage.CONNECTING, Cause.NO_CONNECTION)
 
--- a/thornladder/node/memory_budget.py
+++ b/thornladder/node/memory_budget.py
@@ -1,4 +1,9 @@
-"""The memory that streamed bodies may occupy in a node, shared by requests and responses."""
+"""The memory that messages may occupy in a node, shared by requests and responses.
+
+What a connection costs by itself, small reads included, is in the limit on their number
+(`memory_plan.MemoryPlan`). Whatever needs more reserves it here before it reads on: without room nothing is
+read, and TCP holds the sender back.
+"""
 
 from __future__ import annotations
 
@@ -15,12 +20,13 @@
     size: int
     holder: object
     granted: anyio.Event
+    since: float  # on the event loop's clock
 
 
 class MemoryBudget:
-    """Limits the memory, in bytes, that streamed bodies occupy in this node; first come, first served.
+    """Limits the memory, in bytes, that messages occupy in this node; first come, first served.
 
-    Without it many large bodies, or slow readers of them, would exhaust the memory.
+    Without it many large messages, or slow readers of them, would exhaust the memory.
     """
 
     def __init__(self, limit: int) -> None:
@@ -39,6 +45,16 @@
         self._limit = limit
         self._grant_waiters()
 
+    @property
+    def longest_wait_seconds(self) -> float:
+        """For how long the first of those that wait for room has done so; 0 if nobody waits."""
+        return anyio.current_time() - self._waiters[0].since if self._waiters else 0.0
+
+    @property
+    def wanted(self) -> int:
+        """How many bytes those that wait for room want in all."""
+        return sum(waiter.size for waiter in self._waiters)
+
     def has_room(self, size: int, holder: object) -> bool:
         """Whether `holder` would get `size` bytes without waiting."""
         return not self._waiters and self._fits(size, holder)
@@ -52,7 +68,7 @@
         if self.has_room(size, holder):
             self._reserve(size, holder)
             return
-        waiter = _Waiter(size, holder, anyio.Event())
+        waiter = _Waiter(size, holder, anyio.Event(), anyio.current_time())
         self._waiters.append(waiter)
         try:
             await waiter.granted.wait()
@@ -83,3 +99,29 @@
             waiter = self._waiters.popleft()
             self._reserve(waiter.size, waiter.holder)
             waiter.granted.set()
+
+
+class Reservation:
+    """The bytes of a `MemoryBudget` that one holder has reserved for one message."""
+
+    __slots__ = ("budget", "size")
+
+    def __init__(self, budget: MemoryBudget) -> None:
+        self.budget, self.size = budget, 0
+
+    def must_wait_for(self, size: int) -> bool:
+        """Whether growing to `size` bytes would have to wait."""
+        return size > self.size and not self.budget.has_room(size - self.size, self)
+
+    async def grow_to(self, size: int) -> None:
+        """Reserves what is missing to `size` bytes, waiting for it as `MemoryBudget.acquire` does."""
+        if size > self.size:
+            missing = size - self.size
+            await self.budget.acquire(missing, self)
+            self.size += missing
+
+    def release(self) -> None:
+        """Gives all of it back; it may grow again."""
+        if self.size:
+            size, self.size = self.size, 0
+            self.budget.release(size, self)
--- a/thornladder/node/messages.py
+++ b/thornladder/node/messages.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -13,10 +13,14 @@
 from thornladder import interface as api
 from thornladder.fields import MalformedError, get_choice, get_field, get_objects, get_optional, parse_object
 from thornladder.node.flow import BodyPipe
+from thornladder.node.memory_budget import Reservation
 from thornladder.settings import Address, parse_address, parse_load_report
 
 MAX_BUFFERED_BYTES = 64 * 1024  # bodies up to this size are buffered, larger ones streamed
 MAX_BODY_BYTES = 33 * 1024 * 1024  # covers 32 MB in every common meaning of the unit
+MAX_HEAD_FIELDS = (
+    128  # of a request or response; each costs its process some hundred bytes while it is parsed
+)
 Headers = list[tuple[bytes, bytes]]
 
 READY_PATH, LIVE_PATH, LOAD_PATH = b"/health/ready", b"/health/live", b"/stats"
@@ -27,20 +31,53 @@
     (b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
      b"content-length", b"expect", b"x-budget-ms")
 )  # fmt: skip
+_HEAD_END = re.compile(rb"\n\r?\n")
 _CALL_ID = re.compile(rb"[\x21-\x7e]{1,128}")
 _CONTENT_LENGTH = re.compile(rb"\n(?i:content-length)[ \t]*:[ \t]*([^\r\n]*)")
 _UNIQUE_HEADERS = (b"x-call-id", b"x-budget-ms", b"x-caller", b"x-again", b"transfer-encoding")
 _KEY_PARAMETER = re.compile(rb"(?:^|&)key=([0-9a-fA-F]{1,16})(?:&|$)")
 
 
+@dataclass(frozen=True, slots=True)
+class PackedHeaders:
+    """Header fields as one string: a list of pairs takes several times as much memory."""
+
+    data: bytes
+
+    @classmethod
+    def pack(cls, headers: Iterable[tuple[bytes, bytes]]) -> PackedHeaders:
+        """Packs fields that h11 has checked: no name holds a colon, and nothing a line end."""
+        return cls(b"\n".join(b"%s:%s" % field for field in headers))
+
+    def unpack(self) -> Headers:
+        """The fields in their order."""
+        lines = self.data.split(b"\n") if self.data else []
+        return [(name, value) for name, _, value in (line.partition(b":") for line in lines)]
+
+
+class RequestHead:
+    """The head of a client's request, in little memory."""
+
+    __slots__ = ("method", "target", "packed_headers")
+
+    def __init__(self, request: h11.Request) -> None:
+        self.method, self.target = bytes(request.method), bytes(request.target)
+        self.packed_headers = PackedHeaders.pack(request.headers)
+
+    @property
+    def headers(self) -> Headers:
+        """The header fields, with names in lower case."""
+        return self.packed_headers.unpack()
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamRequest:
     """A request to a backend: a client's, forwarded without its hop-by-hop headers, or a probe."""
 
     method: bytes
     target: bytes
-    headers: Headers
-    body: bytes  # if it is streamed, the part received so far
+    headers: PackedHeaders
+    body: bytes  # empty if it is streamed
     body_pipe: BodyPipe | None = None
     length: int | None = None  # of a streamed body, in bytes; None if the sender gave none
 
@@ -71,6 +108,7 @@
     body: bytes = b""
     body_pipe: BodyPipe | None = None
     length: int | None = None
+    reservation: Reservation | None = None  # of the memory that `body` takes until it is written
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +120,7 @@
     body: bytes
     body_pipe: BodyPipe | None = None
     length: int | None = None
+    reservation: Reservation | None = None  # of the memory that `body` takes
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,14 +158,21 @@
     return BadRequest(400, f"more than one {repeated.decode()}") if repeated else None
 
 
+def has_too_many_fields(data: bytes) -> bool:
+    """Whether `data`, which begins with a message's head, whole or not, has more than MAX_HEAD_FIELDS."""
+    end = _HEAD_END.search(data)
+    # The first line is no field.
+    return data.count(b"\n", 0, len(data) if end is None else end.start() + 1) > MAX_HEAD_FIELDS + 1
+
+
 def decode_invocation(
-    request: h11.Request,
+    request: RequestHead,
     body: bytes,
     offerings: Mapping[str, api.Offering],
     body_pipe: BodyPipe | None = None,
 ) -> tuple[api.Invocation, UpstreamRequest] | BadRequest:
     """Decodes a request for an invocation; `body_pipe` is set if the rest of its body is streamed."""
-    headers = list(request.headers)
+    headers = request.headers
     header_values = dict(headers)
     path, _, query = request.target.partition(b"?")
     name = path.split(b"/", 2)[1].decode("ascii", "replace") if path.startswith(b"/") else ""
@@ -153,8 +199,9 @@
         if body_pipe is not None and b"content-length" in header_values
         else None
     )
+    forwarded_headers = PackedHeaders.pack(_forwarded_headers(headers))
     return invocation, UpstreamRequest(
-        request.method, request.target, _forwarded_headers(headers), body, body_pipe, length
+        request.method, request.target, forwarded_headers, body, body_pipe, length
     )
 
 
@@ -225,6 +272,7 @@
     405: b"Method Not Allowed",
     408: b"Request Timeout",
     413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
@@ -233,14 +281,14 @@
 
 # Backends.
 
-HEALTH_PROBE = UpstreamRequest(b"GET", LIVE_PATH, [], b"")
-LOAD_PROBE = UpstreamRequest(b"GET", LOAD_PATH, [], b"")
+HEALTH_PROBE = UpstreamRequest(b"GET", LIVE_PATH, PackedHeaders(b""), b"")
+LOAD_PROBE = UpstreamRequest(b"GET", LOAD_PATH, PackedHeaders(b""), b"")
 MAX_LOAD_REPORT_BYTES = 4096  # a load report holds at most four values
 
 
 def encode_push(request: UpstreamRequest, time_left: float, host: str) -> h11.Request:
     """Encodes a push; `time_left` (seconds) is sent as the backend's time budget."""
-    headers = list(request.headers)
+    headers = request.headers.unpack()
     if not any(name == b"host" for name, _ in headers):
         headers.append((b"Host", host.encode()))  # HTTP/1.0 clients may send none
     headers.append((b"X-Budget-Ms", b"%d" % max(int(time_left * 1000.0), 1)))
@@ -273,7 +321,13 @@
 def completed_response(response: UpstreamResponse) -> ClientResponse:
     """Returns the final response that forwards a backend's to the client."""
     return ClientResponse(
-        FinalOutcome.COMPLETED, 0.0, response.headers, response.body, response.body_pipe, response.length
+        FinalOutcome.COMPLETED,
+        0.0,
+        response.headers,
+        response.body,
+        response.body_pipe,
+        response.length,
+        response.reservation,
     )
 
 
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -31,6 +31,7 @@
 from thornladder.node.host import Clock, NodeHost
 from thornladder.node.maintenance import Maintenance
 from thornladder.node.memory_budget import MemoryBudget
+from thornladder.node.memory_plan import MemoryPlan, resident_bytes
 from thornladder.node.messages import DiscoveryResponse
 from thornladder.node.operations import Operations
 from thornladder.node.tasks import Tasks
@@ -40,8 +41,6 @@
 # Between sweeps of the connections. A client may take 2.6 s to send a request and must be closed within 3 s.
 SWEEP_SECONDS = 0.15
 RESERVED_DESCRIPTORS = 24  # a dozen for other things than client and backend connections, and a dozen spare
-# Streamed bodies may use the memory limit divided by this. Each body counts as `flow.BODY_PIPE_BYTES`.
-BODY_MEMORY_DIVISOR = 4
 CLIENT_POOL_SHARE = 1.0 / 3.0  # of all descriptors: maximum connections on which clients send invocations
 # Client connections' share of the descriptors that are not reserved. An invocation holds one client
 # connection and seldom more than one backend connection.
@@ -73,7 +72,8 @@
         + (AdminServer.MAX_DESCRIPTORS if admin_listener else 0)
         + sum(extension.descriptors for extension in extensions)
     )
-    max_connections = max(config.sockets - reserved, 8)
+    memory_plan = MemoryPlan(config.memory, resident_bytes(), len(restored_list.entries))
+    max_connections = memory_plan.max_connections(max(config.sockets - reserved, 8))
     max_clients = round(CLIENT_SHARE * max_connections)
     async with anyio.create_task_group() as group:
         tasks = Tasks(group, log)
@@ -83,7 +83,7 @@
         pool = Pool(
             max_connections - max_clients, transport.backend_idle_timeout, transport.connect_timeout, clock
         )
-        memory_budget = MemoryBudget(max(config.memory // BODY_MEMORY_DIVISOR, 2**20))
+        memory_budget = MemoryBudget(memory_plan.message_bytes(max_connections))
         request_load_reports = config.decisions["limits"].probes_per_invocation > 0.0
         pushes = PushDispatcher(
             pool,
@@ -118,7 +118,7 @@
             handler, shed_policy = extension.wrap(handler, shed_policy)
         server_state = ServerState(
             handler, host.node.offerings, clock, memory_budget, lambda: host.lag.is_late, shed_policy, log,
-            max(round(CLIENT_POOL_SHARE * config.sockets), 4),
+            max(min(round(CLIENT_POOL_SHARE * config.sockets), max_clients), 4),
         )  # fmt: skip
         front = Front(server_state, max_clients, tasks, config.inherited is not None)
         extra_endpoints = {
@@ -128,7 +128,7 @@
         }
         operations = Operations(host, front, handover.maintenance_store.merge, log, extra_endpoints)
         tasks.supervise("the idle connection sweep", _sweep, front, pushes)
-        tasks.supervise("the handover", handover.run, host, front, pool, memory_budget)
+        tasks.supervise("the handover", handover.run, host, front, pool, memory_budget, memory_plan)
         context = NodeContext(
             config.name, config.seed, config.folder, config.decisions["nodes"], config.admin, tasks, log,
             partial(handover.set_node_count, host), lambda: reload.config.raw["settings"],
@@ -198,8 +198,8 @@
         self.other_processes: list[ProcessStatus] = []
         self.descriptors_used = 0
         self.announcing_failed = False  # at the last try
-        # Limits of the whole node: client connections, backend connections, bytes for streamed bodies.
-        self.node_limits: tuple[int, int, int] | None = None
+        # Limits of the whole node: client connections, backend connections.
+        self.node_limits: tuple[int, int] | None = None
         self.node_count: int | None = None  # reported by an extension; None: as in the settings
         # Processes of the node that serve or drain, this one included even while it starts.
         self.active_count = 1
@@ -226,15 +226,18 @@
         else:
             self.announcing_failed = False
 
-    async def run(self, host: NodeHost, front: Front, pool: Pool, memory_budget: MemoryBudget) -> None:
+    async def run(
+        self,
+        host: NodeHost,
+        front: Front,
+        pool: Pool,
+        memory_budget: MemoryBudget,
+        memory_plan: MemoryPlan,
+    ) -> None:
         """Synchronizes with the other processes and divides the limits, for as long as the node runs."""
         # Recorded once: this task restarts after an error, and the current limits may be divided by then.
-        self.node_limits = self.node_limits or (
-            front.max_connections,
-            pool.max_connections,
-            memory_budget.limit,
-        )
-        max_clients, max_backends, memory = self.node_limits
+        self.node_limits = self.node_limits or (front.max_connections, pool.max_connections)
+        max_clients, max_backends = self.node_limits
         while True:
             self.descriptors_used = front.connection_count + pool.open_connections
             self.sync(host)
@@ -252,7 +255,9 @@
             pool.max_connections = min(
                 max_backends, max(pool.open_connections + round((1.0 - CLIENT_SHARE) * free), 4)
             )
-            memory_budget.limit = memory // process_count
+            memory_budget.limit = memory_plan.message_bytes(
+                max_clients + max_backends, process_count, len(host.maintenance.entries)
+            )
             await anyio.sleep(self.SYNC_SECONDS)
 
     def announce_leaving(self, front: Front) -> None:
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -13,10 +13,14 @@
 from typing import cast
 
 import anyio
+from anyio._backends._asyncio import SocketStream as _AsyncioStream  # its public makers read without a limit
+from anyio._backends._asyncio import StreamProtocol
 from anyio.abc import SocketAttribute, SocketStream
 
-MAX_READ_BYTES = 256_000  # the most that the event loop reads at once
+# The most that is read at once: at any time, and where the reader has reserved memory for it.
+SMALL_READ_BYTES, MAX_READ_BYTES = 4 * 1024, 32 * 1024
 MAX_PEEK_BYTES = 2**20  # more than the kernel holds of a connection whose buffers are limited
+MAX_DISCARDED_READS = 64  # of a request that is refused unread; a sender may be faster than this process
 _LINGER_ZERO = struct.pack("ii", 1, 0)  # a close drops what is unsent and resets the connection
 # Raised where either side has closed the stream.
 STREAM_CLOSED_ERRORS = (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
@@ -45,23 +49,59 @@
     return raw_socket(stream).fileno()
 
 
-class SingleReadProtocol(asyncio.Protocol):
-    """Wraps a transport's protocol and pauses reading after each read, until the reader asks for more.
+class SingleReadProtocol(asyncio.BufferedProtocol):
+    """Wraps anyio's protocol and pauses reading after each read, until the reader asks for more.
 
-    Keeps bodies from piling up in anyio's queue: the event loop would read up to 32 times in a row, and a
-    connection whose reader never has to wait is never paused.
+    Keeps data from piling up in anyio's queue: the event loop would read up to 32 times 256,000 bytes in a
+    row, also before the connection's reader has begun, and would never pause one whose reader need not wait.
     """
 
-    def __init__(self, transport: asyncio.Transport) -> None:
-        self.transport, self.inner = transport, cast(asyncio.Protocol, transport.get_protocol())
+    # Shared by all connections: each read is copied from it before the next one begins.
+    _buffer = memoryview(bytearray(MAX_READ_BYTES))
+
+    def __init__(self) -> None:
+        self.inner = StreamProtocol()
+        self.max_read_bytes = SMALL_READ_BYTES
+        self.transport: asyncio.Transport
         self.eof_received, self.connection_lost = self.inner.eof_received, self.inner.connection_lost
         self.pause_writing, self.resume_writing = self.inner.pause_writing, self.inner.resume_writing
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.inner.connection_made(transport)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._buffer[: self.max_read_bytes]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self._buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         self.inner.data_received(data)
         self.transport.pause_reading()
 
 
+async def open_stream(connected: socket.socket) -> SocketStream:
+    """Hands a connected socket to the event loop, with `SingleReadProtocol`.
+
+    Raises OSError if the other side has reset it.
+    """
+    connected.getpeername()
+    transport, protocol = await asyncio.get_running_loop().connect_accepted_socket(
+        SingleReadProtocol, connected
+    )
+    transport.pause_reading()
+    return _AsyncioStream(transport, protocol.inner)
+
+
+def limit_reads(stream: SocketStream, max_bytes: int) -> None:
+    """Sets how many bytes the next reads take at most, of a stream made by `open_stream`."""
+    transport = getattr(stream, "_transport", None)
+    protocol = None if transport is None or transport.is_closing() else transport.get_protocol()
+    if isinstance(protocol, SingleReadProtocol):
+        protocol.max_read_bytes = max_bytes
+
+
 def reset(stream: SocketStream) -> None:
     """Ends a connection by a reset, so that nobody can take the end of its bytes for the end of a message.
 
@@ -121,21 +161,24 @@
     ignored: then the connection has ended.
     """
     with suppress(Exception), _socket_view(stream) as view:
-        # Unread bytes would turn the end into a reset, which may overtake the answer.
-        with suppress(BlockingIOError):
-            while view.recv(MAX_READ_BYTES, socket.MSG_DONTWAIT):
-                pass
-        view.send(answer)
-        view.shutdown(socket.SHUT_RDWR)
+        _answer_and_shut_down(view, answer)
 
 
-def limit_reads(stream: SocketStream) -> SocketStream:
-    """Makes `stream` queue no more than one read of at most `MAX_READ_BYTES`; returns the same stream."""
-    transport = getattr(stream, "_transport", None)
-    if transport is not None and not transport.is_closing():
-        transport.set_protocol(SingleReadProtocol(transport))
-        transport.pause_reading()
-    return stream
+def answer_and_close(connected: socket.socket, answer: bytes) -> None:
+    """The same for a socket that no stream has been made of, and closes it."""
+    with suppress(OSError):
+        _answer_and_shut_down(connected, answer)
+    connected.close()
+
+
+def _answer_and_shut_down(connected: socket.socket, answer: bytes) -> None:
+    # Unread bytes would turn the end into a reset, which may overtake the answer.
+    with suppress(BlockingIOError):
+        for _ in range(MAX_DISCARDED_READS):
+            if not connected.recv(MAX_READ_BYTES, socket.MSG_DONTWAIT):
+                break
+    connected.send(answer)  # fits an empty send buffer
+    connected.shutdown(socket.SHUT_RDWR)
 
 
 def try_write(stream: SocketStream, data: bytes) -> bool:
--- a/thornladder/rig/crowd.py
+++ b/thornladder/rig/crowd.py
@@ -1,10 +1,13 @@
-"""Clients that cost a node much memory or much time, each in its own way, by the hundred."""
+"""Clients that cost a node much memory or much time, each in its own way, by the hundred.
+
+`python -m thornladder.rig.crowd HOST PORT KIND SIZE SEED` runs a crowd until it is ended: in a process of its
+own it takes no time from those who measure beside it.
+"""
 
 from __future__ import annotations
 
 import math
-from collections import Counter
-from collections.abc import Callable
+import sys
 from contextlib import suppress
 from enum import Enum
 from pathlib import Path
@@ -45,36 +48,21 @@
 class Crowd:
     """Clients that connect to one node, and again as soon as it has ended them."""
 
-    def __init__(
-        self,
-        address: Address,
-        kind: CrowdKind,
-        size: int,
-        rng: Random,
-        large_answer: str,
-        small_answer: str,
-        upload: str,
-    ) -> None:
-        """`large_answer`, `small_answer`: offerings with answers above and below what a node buffers.
-
-        `upload`: an offering for requests with a body.
-        """
+    # Offerings with answers above and below what a node buffers, and one for requests with a body.
+    LARGE_ANSWER, SMALL_ANSWER, UPLOAD = "book", "pay", "pay"
+
+    def __init__(self, address: Address, kind: CrowdKind, size: int, rng: Random) -> None:
         self.address, self.kind, self.size, self.rng = address, kind, size, rng
-        self.large_answer, self.small_answer, self.upload = large_answer, small_answer, upload
-        self.ends: Counter[str] = Counter()  # first words of what the node answered
         self._request_count = 0
 
-    async def run(self, is_over: Callable[[], bool]) -> None:
-        """Runs all clients until `is_over`."""
+    async def run(self) -> None:
+        """Runs all clients until it is cancelled."""
         async with anyio.create_task_group() as group:
             for _ in range(self.size):
-                group.start_soon(self._run_client, is_over)
-            while not is_over():
-                await anyio.sleep(SAMPLE_SECONDS)
-            group.cancel_scope.cancel()
+                group.start_soon(self._run_client)
 
-    async def _run_client(self, is_over: Callable[[], bool]) -> None:
-        while not is_over():
+    async def _run_client(self) -> None:
+        while True:
             kind = self.rng.choice(SINGLE_KINDS) if self.kind is CrowdKind.MIXED else self.kind
             with suppress(OSError):
                 await self._use(await anyio.connect_tcp(*self.address), kind)
@@ -96,8 +84,6 @@
         is_first = True
         while True:
             data = await stream.receive(4096)
-            if is_first:
-                self.ends[data[9:12].decode(errors="replace")] += 1
             if is_first and not data.startswith((b"HTTP/1.1 200", b"HTTP/1.1 100")):
                 return
             is_first = False
@@ -111,25 +97,25 @@
         length = f"Content-Length: {SMALL_BODY_BYTES}"
         large_length = f"Content-Length: {LARGE_BODY_BYTES}"
         if kind is CrowdKind.FIELDS_THEN_HALF_BODY:
-            await stream.send(self._head(self.upload, length, MANY_FIELDS) + bytes(SMALL_BODY_BYTES // 2))
+            await stream.send(self._head(self.UPLOAD, length, MANY_FIELDS) + bytes(SMALL_BODY_BYTES // 2))
         elif kind is CrowdKind.HALF_LARGE_BODY:
-            await stream.send(self._head(self.upload, large_length) + bytes(LARGE_BODY_BYTES // 2))
+            await stream.send(self._head(self.UPLOAD, large_length) + bytes(LARGE_BODY_BYTES // 2))
         elif kind is CrowdKind.NEARLY_WHOLE_BODY:
-            await stream.send(self._head(self.upload, length) + bytes(SMALL_BODY_BYTES - 1000))
+            await stream.send(self._head(self.UPLOAD, length) + bytes(SMALL_BODY_BYTES - 1000))
         elif kind is CrowdKind.HALF_CHUNKED_BODY:
             chunk = b"%x\r\n%s\r\n" % (SMALL_BODY_BYTES, bytes(SMALL_BODY_BYTES))
-            await stream.send(self._head(self.upload, "Transfer-Encoding: chunked") + chunk)
+            await stream.send(self._head(self.UPLOAD, "Transfer-Encoding: chunked") + chunk)
         elif kind is CrowdKind.SLOW_FIELDS:
-            await self._send_in_pieces(stream, self._head(self.upload, length, MANY_FIELDS), 700, 0.1)
+            await self._send_in_pieces(stream, self._head(self.UPLOAD, length, MANY_FIELDS), 700, 0.1)
         elif kind is CrowdKind.SLOW_LARGE_BODY:
-            data = self._head(self.upload, large_length) + bytes(LARGE_BODY_BYTES)
+            data = self._head(self.UPLOAD, large_length) + bytes(LARGE_BODY_BYTES)
             await self._send_in_pieces(stream, data, 8000, 0.125)
         elif kind is CrowdKind.SLOW_READER:
-            await stream.send(self._head(self.large_answer, "Content-Length: 0"))
+            await stream.send(self._head(self.LARGE_ANSWER, "Content-Length: 0"))
         elif kind is CrowdKind.UNREAD_ANSWER:
-            await stream.send(self._head(self.small_answer, "Content-Length: 0"))
+            await stream.send(self._head(self.SMALL_ANSWER, "Content-Length: 0"))
         elif kind is CrowdKind.TINY_CHUNKS:
-            await stream.send(self._head(self.upload, "Transfer-Encoding: chunked"))
+            await stream.send(self._head(self.UPLOAD, "Transfer-Encoding: chunked"))
             while True:
                 await stream.send(b"1\r\nx\r\n" * 5000)
         else:
@@ -168,3 +154,28 @@
             if "RssAnon" in fields:
                 self.anonymous = max(self.anonymous, int(fields["RssAnon"].split()[0]) / 1024.0)
                 self.resident = max(self.resident, int(fields["VmHWM"].split()[0]) / 1024.0)
+
+
+def crowd_command(address: Address, kind: CrowdKind, size: int, seed: int) -> list[str]:
+    """The command that runs a crowd in a process of its own."""
+    return [
+        sys.executable,
+        "-m",
+        "thornladder.rig.crowd",
+        address[0],
+        str(address[1]),
+        kind.name,
+        str(size),
+        str(seed),
+    ]
+
+
+def main(arguments: list[str]) -> None:
+    """Runs the crowd that the command line names."""
+    host, port, kind, size, seed = arguments
+    crowd = Crowd((host, int(port)), CrowdKind[kind], int(size), Random(int(seed)))
+    anyio.run(crowd.run, backend_options={"use_uvloop": True})
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/thornladder/rig/told.py
+++ b/thornladder/rig/told.py
@@ -28,7 +28,7 @@
 from thornladder.node.host import NodeHost
 from thornladder.node.http1 import Cause, Failure, Stage, UpstreamConnection
 from thornladder.node.memory_budget import MemoryBudget
-from thornladder.node.messages import ClientResponse, FinalOutcome, UpstreamRequest
+from thornladder.node.messages import ClientResponse, FinalOutcome, PackedHeaders, UpstreamRequest
 from thornladder.node.tasks import Tasks
 from thornladder.rig import moments
 from thornladder.rig.moments import MemoryStream, Peer
@@ -463,7 +463,9 @@
             await anyio.sleep(self.rng.expovariate(self.schedule.rate))
             number += 1
             invocation = api.Invocation(f"i{number}", "look", "t", LOOK_OFFERING.cut_off, None, False)
-            message = UpstreamRequest(b"GET", b"/look", [(b"x-call-id", invocation.id.encode())], b"")
+            message = UpstreamRequest(
+                b"GET", b"/look", PackedHeaders(b"x-call-id:" + invocation.id.encode()), b""
+            )
             host.start_invocation(Exchange(invocation, message, self._on_response))
 
     def _on_response(self, response: ClientResponse) -> None:
