Dense requests share a bounded part of a process's time

Cause: all chunks of one read (some 40,000 in 256 kB, 680 in 4 KiB) were parsed in one turn of the event loop, and each was passed on by itself; nothing made a connection pay for what its bytes cost.

Change: 64 events of one connection are parsed in a turn (parse_pace.py); beyond 256 events a request waits its turn in a rate that all such requests share, beyond 4,096 in a lower one, and the wait counts as its client's time, so that one that makes no progress ends in 408. Parts that were parsed together are passed on together. Answers of backends give way after 64 events too. A sound body of 1,024 chunks of one byte passes.

--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -11,6 +11,7 @@
 
 from thornladder.node import messages, streams
 from thornladder.node.clients.closures import CloseReason
+from thornladder.node.clients.parse_pace import MAX_EVENTS_PER_TURN
 from thornladder.node.clients.server_state import ServerState
 from thornladder.node.clients.upload import Upload, may_be_unread
 from thornladder.node.exchange import Exchange
@@ -85,6 +86,7 @@
         self.upload: Upload | None = None
         self.discarding = False  # whether the rest of an answered request is being read and dropped
         self.received_bytes = 0  # of the current request body
+        self.event_count = 0  # parsed of the current request
         # Total time spent waiting for data of the current request, and start of the present wait (0: none).
         self.read_wait_seconds, self.read_started_at = 0.0, 0.0
         self.download: BodyPipe | None = None
@@ -345,8 +347,20 @@
                 return  # the client has sent too much while its response is still being streamed
             if self._reject_too_many_fields():
                 continue
-            self._process_events()
+            await self._process_received()
+
+    async def _process_received(self) -> None:
+        """Processes what has been read and passes it on, in turns with other connections."""
+        has_more = True
+        while has_more:
+            events_before = self.event_count
+            has_more = self._process_events()
             await self._forward_upload()
+            new_events, now = max(self.event_count - events_before, 0), self.server_state.clock()
+            delay = self.server_state.parse_pace.delay(new_events, events_before, now)
+            if delay > 0.0 or has_more:
+                await anyio.sleep(delay)
+                self.read_wait_seconds += delay  # a client's time: it costs more than it sends
 
     async def _prepare_read(self) -> None:
         """Waits for the memory that the next read may take, and limits the read to it.
@@ -485,7 +499,8 @@
                 if self.closing and not self.outbox:
                     break
                 if self.exchange is None:
-                    self._process_events()
+                    if self._process_events():
+                        self.tasks.start_soon(self._process_received)
                     await self._forward_upload()
             await self.stream.send(b"")  # waits until the kernel has taken the last response
             # Half-closes, then waits for the client to close, or for LINGER_SECONDS: otherwise a reset could
@@ -522,12 +537,17 @@
         else:
             self.closing = True
 
-    def _process_events(self) -> None:
+    def _process_events(self) -> bool:
         """Processes received data until a request is complete or more data is needed.
 
-        While a response is streamed, only the rest of its own request is processed, and dropped.
+        While a response is streamed, only the rest of its own request is processed, and dropped. Returns
+        whether it stopped before, for others to have their turn.
         """
+        last_event = self.event_count + MAX_EVENTS_PER_TURN
         while not self.closing and (self.download is None or self.discarding):
+            if self.event_count >= last_event:
+                return True
+            self.event_count += 1
             unparsed = self.http.trailing_data[0] if self.request is None else b""
             try:
                 event = self.http.next_event()
@@ -537,15 +557,16 @@
                     self.write_event.set()
                 else:
                     self._abort_request(error.error_status_hint, "malformed")
-                return
+                return False
             if event is h11.NEED_DATA:
                 if self.http.they_are_waiting_for_100_continue:
                     self._send(self.http.send(h11.InformationalResponse(status_code=100, headers=[])) or b"")
-                return
+                return False
             if isinstance(event, h11.Request):
                 self.request = RequestHead(event)
                 self.body.clear()
-                self.received_bytes = 0
+                self.received_bytes, self.event_count = 0, 1
+                last_event = MAX_EVENTS_PER_TURN
                 head = unparsed[: len(unparsed) - len(self.http.trailing_data[0])]
                 framing = dict(event.headers)
                 is_chunked = b"transfer-encoding" in framing
@@ -568,9 +589,10 @@
                     self.upload.on_read_whole()
                 else:
                     self._handle_message()
-                return
+                return False
             else:
-                return
+                return False
+        return False
 
     def _has_surplus(self) -> bool:
         """Whether bytes have come behind a streamed body: then its declared length cannot be trusted."""
--- a/thornladder/node/clients/server_state.py
+++ b/thornladder/node/clients/server_state.py
@@ -11,6 +11,7 @@
 from thornladder.node.clients.client_pool import ClientPool
 from thornladder.node.clients.closures import ClosureLog
 from thornladder.node.clients.early import EarlyShedder, ShedPolicy
+from thornladder.node.clients.parse_pace import ParsePace
 from thornladder.node.exchange import Exchange
 from thornladder.node.memory_budget import MemoryBudget
 from thornladder.node.shutdown import ShutdownSchedule
@@ -66,6 +67,7 @@
         self.set_offerings(offerings)
         self.shutdown: ShutdownSchedule | None = None  # set once this process has been told to end
         self.standby = False
+        self.parse_pace = ParsePace()
         self.memory_refusals = 0  # requests refused, and given up, for want of memory
         self.has_successor = False  # another process of this node accepts on the same listening socket
 
--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -210,6 +210,7 @@
     SINGLE_WRITE_BYTES = 4096  # the kernel takes this much at once on a connection with nothing in flight
     UNKNOWN_LENGTH_BUFFER_SECONDS = 0.1  # a body of unknown length is streamed if it has not ended by then
     STREAM_STALL_TIMEOUT_SECONDS = 10.0  # longest pause of a backend in the middle of a streamed body
+    MAX_EVENTS_PER_TURN = 64  # parsed before others have their turn
     MAX_INFORMATIONAL_RESPONSES = 8  # 1xx responses before the final one; one or two are usual
 
     def __init__(self, stream: SocketStream) -> None:
@@ -325,9 +326,12 @@
         return Failure(self.stage, Cause.BROKEN if stream_ended else Cause.MALFORMED)
 
     async def _parse_response(self) -> UpstreamResponse | Failure:
-        response, informational = self.response, 0
+        response, informational, events = self.response, 0, 0
         while True:
             event = self.http.next_event()
+            events += 1
+            if events % self.MAX_EVENTS_PER_TURN == 0:
+                await anyio.sleep(0.0)
             if event is h11.NEED_DATA:
                 data = b""  # empty data tells h11 that the stream has ended
                 await response.prepare_read(self)
