--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -157,6 +157,40 @@
         assert [await process.wait() for process in running] == [0, 0]
 
 
+def paid(processes: NodeProcesses) -> list[str]:
+    """The ids of the requests to pay that the backends received."""
+    received = [message for backend in processes.backends for message in backend.received]
+    return [message.headers["x-call-id"] for message in received if message.target == "/pay"]
+
+
+# Report 98e2ab (d): an id that was open in one process of an upgrade ran again at the other one.
+@pytest.mark.parametrize("leaves", [False, True], ids=["open", "left"])
+async def test_an_id_that_is_open_at_the_old_process_does_not_run_at_the_new_one(
+    leaves: bool, tmp_path: Path
+) -> None:
+    def hang_on_pay(request: ReceivedMessage) -> bytes | None:
+        return None if request.target == "/pay" else reply(200)
+
+    async with NodeProcesses(tmp_path, hang_on_pay, hang_on_pay) as processes:
+        old, admin = await processes.run()
+        await processes.wait_ready(admin)
+        client = await processes.client()
+        await client.send("a0", "look")
+        assert (await client.answer()).target == "200"
+        _, admin = await processes.run()
+        await processes.wait_ready(admin)
+        await client.send("a", "pay", 900, b"x")
+        await wait_until(
+            lambda: any(m.target == "/pay" for peer in processes.backends for m in peer.received)
+        )
+        old.send_signal(signal.SIGTERM)
+        if leaves:
+            await client.stream.aclose()
+        await anyio.sleep(0.1)
+        assert (await (await processes.client()).ask("a", "pay", 900, b"x")).target == "400"
+        assert paid(processes) == ["a"]
+
+
 async def test_three_consecutive_upgrades_under_load_lose_no_invocation(tmp_path: Path) -> None:
     answered: Counter[str] = Counter()
     stopped = anyio.Event()
