An id is open until its answer is written, and is not taken again once it may have run

Cause: an id was only known in the table of requests in hand, from which it went as its answer began or its client left; each process had a table of its own.

An id that is refused costs no sound client.

An id is open until its request is off the host's books and its answer is written or the connection has ended. Ids whose requests surely never ran may come again.

--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import anyio
 import pytest
-from harness import LoopbackCluster, ReceivedMessage, reply, wait_until
+from harness import LoopbackCluster, ReceivedMessage, RecordingLog, reply, wait_until
+
+from thornladder.node.request_ids import MAX_REMEMBERED, REMEMBERED_SECONDS, RequestIds, SharedIds
 
 pytestmark = pytest.mark.anyio
 
@@ -52,3 +56,38 @@
     async with LoopbackCluster(reject_first) as cluster:
         statuses = [(await cluster.ask("a", "pay", 900, b"x")).target for _ in range(6)]
         assert statuses[0] == "503" and "400" not in statuses[: statuses.index("200")]
+
+
+def test_what_may_have_run_is_remembered_for_a_while_and_not_without_bound() -> None:
+    now = [100.0]
+    ids = RequestIds(lambda: now[0])
+    assert ids.open("a") and not ids.open("a")
+    ids.hold("a")
+    ids.release("a", may_have_run=True)
+    assert not ids.open("a")  # its answer is being written
+    ids.release("a")
+    assert not ids.open("a")
+    assert ids.open("b")
+    ids.release("b")
+    assert ids.open("b")
+    now[0] += REMEMBERED_SECONDS + 0.1
+    assert ids.open("a")
+    for number in range(MAX_REMEMBERED + 10):
+        assert ids.open(f"c{number}")
+        ids.release(f"c{number}", may_have_run=True)
+    assert ids.open("c0") and not ids.open(f"c{MAX_REMEMBERED}")
+
+
+# Report 98e2ab (d): an id ran again at the other process of an upgrade.
+def test_an_id_that_is_open_in_one_process_of_a_node_is_not_taken_by_another(tmp_path: Path) -> None:
+    log = RecordingLog()
+    processes = [RequestIds(lambda: 100.0) for _ in range(2)]
+    for ids in processes:
+        ids.shared = SharedIds(tmp_path / "ids", log)
+    first, second = processes
+    assert first.open("a") and not second.open("a") and second.open("b")
+    first.release("a")
+    assert second.open("a") and not first.open("a")
+    second.release("a", may_have_run=True)
+    assert not first.open("a")
+    assert not log.lines
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -96,6 +96,7 @@
         # Whether sending waits for the client to read, rather than for the backend's next body part.
         self.awaiting_client = True
         self.exchange: Exchange | None = None
+        self.answered_exchange: Exchange | None = None  # whose long answer is being written
         self.outbox: deque[bytes] = deque()
         self.write_event = anyio.Event()
         self.client_ended = False  # the client has closed, half-closed or reset the connection
@@ -283,9 +284,13 @@
             self._reject(503, "no memory for a request that does not go on")
 
     def _release_answer(self) -> None:
+        """Gives back what is held for an answer that is written, or that nobody waits for any more."""
         if self.answer_room is not None:
             self.answer_room.release()
             self.answer_room = None
+        if self.answered_exchange is not None:
+            self.answered_exchange.release_id()
+            self.answered_exchange = None
 
     def _upload_too_slow(self, now: float) -> bool:
         waited = self.read_wait_seconds + (now - self.read_started_at if self.read_started_at else 0.0)
@@ -525,6 +530,7 @@
             return
         await self.stream.send(self.http.send(h11.EndOfMessage()) or b"")
         self.download, self.awaiting_client = None, True
+        self._release_answer()
         if self.discarding:
             self._restart_read_wait()  # from now on the rest of the request has its usual time
         else:
@@ -712,7 +718,11 @@
 
     def _deliver(self, answer: ClientResponse) -> None:
         """Sends the final response to the current invocation."""
-        self.exchange, self.answer_room = None, answer.reservation
+        exchange, self.exchange = self.exchange, None
+        self.answer_room = answer.reservation
+        if exchange is not None and (answer.body_pipe is not None or answer.reservation is not None):
+            exchange.hold_id()
+            self.answered_exchange = exchange
         try:
             self._respond(
                 *messages.encode_client_response(answer, self._is_last_response()),
--- a/thornladder/node/exchange.py
+++ b/thornladder/node/exchange.py
@@ -8,6 +8,7 @@
 
 from thornladder.interface import Invocation
 from thornladder.node.messages import ClientResponse, UpstreamRequest
+from thornladder.node.request_ids import RequestIds
 
 
 class Exchange:
@@ -15,7 +16,8 @@
 
     __slots__ = (
         "invocation", "request", "answer", "client_gone", "push_scopes", "pending_pushes", "unread_seconds",
-        "time_budget", "body_incoming", "answer_held", "received_at", "_deliver", "_client_closed",
+        "time_budget", "body_incoming", "answer_held", "received_at", "request_ids", "_deliver",
+        "_client_closed",
     )  # fmt: skip
 
     def __init__(
@@ -42,6 +44,7 @@
         self.answer_held = False  # a backend's answer has begun, and the node has no room to pass it on
         self.received_at = 0.0  # clock time at which the host took it on
         self.pending_pushes = 0
+        self.request_ids: RequestIds | None = None  # in which the id is open, set by the host
         self._deliver, self._client_closed = deliver, client_closed
 
     @property
@@ -70,6 +73,16 @@
 
         self._deliver = observe_and_deliver
 
+    def hold_id(self) -> None:
+        """Keeps the id open until `release_id`, while a long answer is written."""
+        if self.request_ids is not None:
+            self.request_ids.hold(self.invocation.id)
+
+    def release_id(self, may_have_run: bool = False) -> None:
+        """Ends a hold on the id; `may_have_run`: it must not be taken again for a while."""
+        if self.request_ids is not None:
+            self.request_ids.release(self.invocation.id, may_have_run)
+
     def cancel_pushes(self) -> None:
         """Cancels all pushes of this exchange."""
         for scope in self.push_scopes:
--- a/thornladder/node/handover.py
+++ b/thornladder/node/handover.py
@@ -29,6 +29,11 @@
     return f"thornladder-{plain}-{zlib.crc32(node.encode()):08x}"
 
 
+def state_path(folder: str, node: str, suffix: str) -> Path:
+    """The path of a file in a node's private folder."""
+    return Path(folder) / f"{_file_stem(node)}.{suffix}"
+
+
 class Deployment(NamedTuple):
     """Identifies a deployment by its zone and offerings, which ordinary changes of the settings keep."""
 
@@ -67,7 +72,7 @@
     def __init__(self, folder: str, node: str, suffix: str, deployment: Deployment = ANY_DEPLOYMENT) -> None:
         self.node, self.deployment = node, deployment
         self.is_foreign = False  # whether the last read found a file of another deployment
-        self.path = Path(folder) / f"{_file_stem(node)}.{suffix}"
+        self.path = state_path(folder, node, suffix)
 
     def read(self) -> dict[str, Any] | None:
         """The stored object, or None."""
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -16,12 +16,13 @@
 import anyio
 
 from thornladder import decide
-from thornladder.interface import ListKind, LoadReport, Outcome, State
+from thornladder.interface import Idempotency, ListKind, LoadReport, Outcome, State
 from thornladder.node.backends.pushes import PushDispatcher
 from thornladder.node.discovery.watch import Watch
 from thornladder.node.exchange import Exchange
 from thornladder.node.maintenance import Maintenance, MaintenanceMark
 from thornladder.node.messages import ClientResponse, DiscoveryResponse, FinalOutcome
+from thornladder.node.request_ids import RequestIds
 from thornladder.node.tasks import Tasks
 
 
@@ -85,6 +86,7 @@
         self.started_at, self.discovery_answered = clock(), False
         self.lag = EventLoopLag()
         self.exchanges: dict[str, Exchange] = {}  # invocations in flight by id
+        self.request_ids = RequestIds(clock)
         self.pending_timers: Counter[str] = Counter()  # by name
         self.last_heartbeat = self.started_at
         self.answer_by = math.inf  # clock time of the last answer, once the process has been told to end
@@ -151,9 +153,10 @@
     # Events for the decision module.
 
     def start_invocation(self, exchange: Exchange) -> bool:
-        """Accepts an invocation; returns False if one with the same id is in flight."""
-        if exchange.invocation.id in self.exchanges:
+        """Accepts an invocation; returns False if one with the same id is open, or may have run lately."""
+        if not self.request_ids.open(exchange.invocation.id):
             return False
+        exchange.request_ids = self.request_ids
         self.exchanges[exchange.invocation.id] = exchange
         exchange.received_at = self.clock()
         time_left = self._time_left(
@@ -402,7 +405,16 @@
             self._terminate_lost(exchange)
         if exchange.pending_pushes == 0:
             self._deliver(exchange, ClientResponse(FinalOutcome.TERMINATED))
-            self.exchanges.pop(exchange.invocation.id, None)
+            self._forget(exchange)
+
+    def _forget(self, exchange: Exchange) -> None:
+        """Ends an invocation for the host; its id stays open while its answer is written."""
+        if self.exchanges.pop(exchange.invocation.id, None) is None:
+            return
+        offering = self.node.offerings.get(exchange.invocation.offering)
+        is_repeatable = offering is None or offering.idempotency is Idempotency.REPEATABLE
+        is_nacked = exchange.answer is not None and exchange.answer.outcome is FinalOutcome.NACKED
+        exchange.release_id(bool(exchange.push_scopes) and not is_repeatable and not is_nacked)
 
     def _terminate_lost(self, exchange: Exchange) -> None:
         """Terminates an invocation that the module does not end."""
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -27,6 +27,7 @@
     Phase,
     ProcessRegistry,
     ProcessStatus,
+    state_path,
 )
 from thornladder.node.host import Clock, NodeHost
 from thornladder.node.maintenance import Maintenance
@@ -34,6 +35,7 @@
 from thornladder.node.memory_plan import MemoryPlan, resident_bytes
 from thornladder.node.messages import DiscoveryResponse
 from thornladder.node.operations import Operations
+from thornladder.node.request_ids import SharedIds
 from thornladder.node.tasks import Tasks
 from thornladder.node.termination import Termination, handle_signals
 from thornladder.settings import Config
@@ -79,6 +81,8 @@
         tasks = Tasks(group, log)
         handover = Handover(config, log)
         host = NodeHost(clock, tasks, log, handover.join(clock()))
+        if config.inherited is not None:
+            host.request_ids.shared = handover.shared_ids()
         transport = config.transport
         pool = Pool(
             max_connections - max_clients, transport.backend_idle_timeout, transport.connect_timeout, clock
@@ -194,6 +198,7 @@
             LearnedState({}),
         )
         self.registry = ProcessRegistry(config.folder, config.name)
+        self.ids_path = state_path(config.folder, config.name, "ids")
         self.phase = Phase.STARTING
         self.other_processes: list[ProcessStatus] = []
         self.descriptors_used = 0
@@ -215,6 +220,14 @@
             self.log.warning("ignoring the state files of another deployment in this folder")
         return maintenance
 
+    def shared_ids(self) -> SharedIds | None:
+        """Ids of requests that are open in any process of this node; None where the folder has no room."""
+        try:
+            return SharedIds(self.ids_path, self.log)
+        except OSError as error:
+            self.log.warning("the ids of requests cannot be shared", error=repr(error))
+            return None
+
     def _announce(self) -> None:
         """Tells the other processes about this one; where that fails they see what it told before."""
         try:
