--- /dev/null
+++ b/tests/test_address_owners.py
@@ -0,0 +1,48 @@
+"""A new process at the address of one that has gone is not taken for it."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from harness import FakeServer, LoopbackCluster, ReceivedMessage, list_line, list_reply, reply, wait_until
+
+pytestmark = pytest.mark.anyio
+
+
+def changed_list(cluster: LoopbackCluster, *lines: dict) -> None:
+    """Makes discovery tell these changes."""
+    update = list_reply(2, *lines)
+    cluster.discovery.answer = lambda message: update if "from=1" in message.target else None
+
+
+# Report 98e2ab (e): the new process at an address got the traffic of the one before, as a warm one, beside its own.
+async def test_a_backend_whose_address_another_one_has_gets_nothing_more() -> None:
+    async with LoopbackCluster(lambda _: reply(200), lambda _: reply(200)) as cluster:
+        new = {**list_line(7, cluster.backends[0].port), "zone": "y"}
+        changed_list(cluster, new)
+        for stream in list(cluster.discovery.streams):
+            await stream.aclose()
+        await wait_until(lambda: any("from=2" in message.target for message in cluster.discovery.received))
+        status = (await cluster.call("GET", "/status"))[1]
+        assert status["backends"] == 2
+
+
+# A backend that has started anew forgets the connections to the process before; its machine had vanished, so
+# that nothing has told this node.
+async def test_connections_to_the_process_before_are_not_used() -> None:
+    def answer(message: ReceivedMessage) -> bytes | None:
+        return reply(200) if not restarted or new_connection() else FakeServer.RESET
+
+    def new_connection() -> bool:
+        return cluster.backends[0].opened > 1
+
+    restarted: list[bool] = []
+    async with LoopbackCluster(answer) as cluster:
+        assert (await cluster.ask("a", "pay", 900, b"x")).target == "200"
+        restarted.append(True)
+        changed_list(cluster, {**list_line(0, cluster.backends[0].port), "startedAtMs": 5})
+        for stream in list(cluster.discovery.streams):
+            await stream.aclose()
+        await wait_until(lambda: any("from=2" in message.target for message in cluster.discovery.received))
+        await anyio.sleep(0.05)
+        assert (await cluster.ask("b", "pay", 900, b"x")).target == "200"
