A new process at the address of one that has gone is not taken for it

And a backend that was listed with a new start kept its idle connections: a machine that had vanished and come back resets them under the next request, which fails as one that may have run (502).

Cause: addresses were looked up by id alone; nothing noticed that two ids had one address, or that one id was another process.

Change: address_owners.py takes the earlier backend off the list: of two at an address the one that started later owns it, or else the one listed later, and one that drains takes none from one that runs. Its address is forgotten. Idle connections to a backend with a new start time are discarded.

Not covered: a backend that restarts under its id before the list tells (nothing in the protocol names the process), members of a fleet and slots of processes, which are off in run (registry slots go by the lock, not by the number).

--- a/tests/test_address_owners.py
+++ b/tests/test_address_owners.py
@@ -6,7 +6,45 @@
 import pytest
 from harness import FakeServer, LoopbackCluster, ReceivedMessage, list_line, list_reply, reply, wait_until
 
+from thornladder.interface import Entry, ListKind, State
+from thornladder.node.address_owners import AddressOwners
+from thornladder.node.messages import DiscoveryResponse
+
 pytestmark = pytest.mark.anyio
+HERE, THERE = ("127.0.0.1", 1), ("127.0.0.1", 2)
+
+
+def listed(id: str, started_at: float | None = None, state: State = State.RUNNING) -> Entry:
+    return Entry(id, state, "x", 0, 1.0, started_at, "plain")
+
+
+def resolve(
+    owners: AddressOwners, kind: ListKind, *entries: tuple[Entry, tuple[str, int] | None]
+) -> dict[str, State]:
+    addresses = {entry.backend: address for entry, address in entries if address is not None}
+    answer = owners.resolve(DiscoveryResponse(1, kind, [entry for entry, _ in entries], addresses))
+    assert {entry.backend for entry in answer.entries if entry.state is not State.GONE} == set(
+        answer.addresses
+    )
+    return {entry.backend: entry.state for entry in answer.entries}
+
+
+def test_the_backend_listed_later_at_an_address_owns_it() -> None:
+    owners = AddressOwners()
+    resolve(owners, ListKind.SNAPSHOT, (listed("old"), HERE), (listed("other"), THERE))
+    assert resolve(owners, ListKind.DELTA, (listed("new"), HERE)) == {"new": State.RUNNING, "old": State.GONE}
+    # News of the old one come late.
+    assert resolve(owners, ListKind.DELTA, (listed("old", state=State.GONE), None)) == {"old": State.GONE}
+    assert resolve(owners, ListKind.DELTA, (listed("other"), THERE)) == {"other": State.RUNNING}
+
+
+def test_of_two_at_an_address_the_one_that_started_later_owns_it_in_any_order() -> None:
+    for entries in ([listed("new", 50.0), listed("old", 10.0)], [listed("old", 10.0), listed("new", 50.0)]):
+        owners = AddressOwners()
+        states = resolve(owners, ListKind.SNAPSHOT, *((entry, HERE) for entry in entries))
+        assert states == {"new": State.RUNNING, "old": State.GONE}
+        assert resolve(owners, ListKind.DELTA, (listed("old", 10.0), HERE)) == {"old": State.GONE}
+        assert resolve(owners, ListKind.DELTA, (listed("old", 10.0), THERE)) == {"old": State.RUNNING}
 
 
 def changed_list(cluster: LoopbackCluster, *lines: dict) -> None:
--- a/thornladder/node/backends/pushes.py
+++ b/thornladder/node/backends/pushes.py
@@ -119,6 +119,7 @@
         self.listener, self.clock, self.log = listener, clock, log
         self.probe_request = messages.LOAD_PROBE if request_load_reports else messages.HEALTH_PROBE
         self.addresses: dict[str, Address] = {}
+        self.started_at: dict[str, float] = {}  # as listed last
         self.leaving_since: dict[str, float] = {}  # clock time at which each was first seen to leave
         self.draining: set[str] = set()  # those of them that were listed as draining
 
@@ -138,6 +139,7 @@
             if self.addresses.get(backend, address) != address:
                 self.pool.discard_idle(backend)
             self.addresses[backend] = address
+        self._discard_connections_to_earlier_processes(answer)
         for backend in running:
             self.leaving_since.pop(backend, None)
         self.draining -= running
@@ -146,6 +148,26 @@
             self.leaving_since.setdefault(backend, now)
             self.pool.discard_idle(backend)
 
+    def _discard_connections_to_earlier_processes(self, answer: DiscoveryResponse) -> None:
+        """Discards connections to backends that have started anew, and addresses that others have taken over.
+
+        What is written on such a connection is lost, and counts as a push that may have run.
+        """
+        for entry in answer.entries:
+            if entry.state is State.GONE and entry.backend not in answer.addresses:
+                self._forget_shared_address(entry.backend)
+            started_at = entry.started_at or 0.0
+            if started_at > self.started_at.get(entry.backend, started_at):
+                self.pool.discard_idle(entry.backend)
+            self.started_at[entry.backend] = started_at
+
+    def _forget_shared_address(self, backend: str) -> None:
+        """Forgets the address of a backend that is gone if another one is reached there."""
+        address = self.addresses.get(backend)
+        shares = any(other != backend and taken == address for other, taken in self.addresses.items())
+        if address is not None and shares:
+            del self.addresses[backend]
+
     def forget_departed(self) -> None:
         """Drops backends that left so long ago that no push to them can be in flight."""
         for backend, since in list(self.leaving_since.items()):
@@ -155,6 +177,7 @@
                 del self.leaving_since[backend]
                 self.draining.discard(backend)
                 self.addresses.pop(backend, None)
+                self.started_at.pop(backend, None)
 
     def start_push(
         self, exchange: Exchange, backend: str, timeout: float, send_within: float = math.inf
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -17,6 +17,7 @@
 
 from thornladder import decide
 from thornladder.interface import Idempotency, ListKind, LoadReport, Outcome, State
+from thornladder.node.address_owners import AddressOwners
 from thornladder.node.backends.pushes import PushDispatcher
 from thornladder.node.discovery.watch import Watch
 from thornladder.node.exchange import Exchange
@@ -87,6 +88,7 @@
         self.lag = EventLoopLag()
         self.exchanges: dict[str, Exchange] = {}  # invocations in flight by id
         self.request_ids = RequestIds(clock)
+        self.address_owners = AddressOwners()
         self.pending_timers: Counter[str] = Counter()  # by name
         self.last_heartbeat = self.started_at
         self.answer_by = math.inf  # clock time of the last answer, once the process has been told to end
@@ -113,7 +115,7 @@
         """
         self.pushes, self.watch = pushes, watch
         now = self.clock()
-        restored_list = self.maintenance.apply(restored_list, now)
+        restored_list = self.maintenance.apply(self.address_owners.resolve(restored_list), now)
         self.probes = decisions["limits"].probes
         pushes.on_list(restored_list)
         self.node = decide.Node(self, seed=seed, now=now, limit_per_backend=limit_per_backend, **decisions)
@@ -290,7 +292,7 @@
             self._dispatch(self.node.on_list, ListKind.UNAVAILABLE, [], self._watch_stale_at)
             return
         self.discovery_answered = True
-        self._apply_list(self.maintenance.apply(answer, self.clock()))
+        self._apply_list(self.maintenance.apply(self.address_owners.resolve(answer), self.clock()))
 
     async def _run_heartbeat(self) -> None:
         while True:
