--- a/tests/test_address_owners.py
+++ b/tests/test_address_owners.py
@@ -34,6 +34,8 @@
     resolve(owners, ListKind.SNAPSHOT, (listed("old"), HERE), (listed("other"), THERE))
     assert resolve(owners, ListKind.DELTA, (listed("new"), HERE)) == {"new": State.RUNNING, "old": State.GONE}
     # News of the old one come late.
+    late_drain = (listed("old", state=State.DRAINING), HERE)
+    assert resolve(owners, ListKind.DELTA, late_drain) == {"old": State.GONE}
     assert resolve(owners, ListKind.DELTA, (listed("old", state=State.GONE), None)) == {"old": State.GONE}
     assert resolve(owners, ListKind.DELTA, (listed("other"), THERE)) == {"other": State.RUNNING}
 
@@ -53,7 +55,7 @@
     cluster.discovery.answer = lambda message: update if "from=1" in message.target else None
 
 
-# Report 98e2ab (e): the new process at an address got the traffic of the one before, as a warm one, beside its own.
+# Report 98e2ab (e): the new process at an address got the traffic of the one before, beside its own.
 async def test_a_backend_whose_address_another_one_has_gets_nothing_more() -> None:
     async with LoopbackCluster(lambda _: reply(200), lambda _: reply(200)) as cluster:
         new = {**list_line(7, cluster.backends[0].port), "zone": "y"}
