A small answer without a length is whole in its client's time or has failed

Change: such a body is buffered until it is over 64 KiB or the client's time is nearly up (0.1 s); then it is begun if it has brought 16 KiB, and otherwise fails in time (502).

--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -101,3 +101,19 @@
     async with cluster:
         answer = await cluster.ask("a", "pay", 900, b"x")
         assert (answer.target, answer.body) == ("200", bytes(75_000))
+
+
+# A small answer has to be whole in its client's time: begun, it could only come late.
+async def test_a_small_answer_without_length_that_is_too_slow_has_failed_in_its_clients_time() -> None:
+    async def answer_slowly(stream: anyio.abc.SocketStream) -> None:
+        await stream.send(b"HTTP/1.1 200 OK\r\n\r\n")
+        for _ in range(20):
+            await stream.send(bytes(500))
+            await anyio.sleep(0.1)
+
+    cluster = LoopbackCluster(lambda message: None if message.target == "/pay" else reply(200))
+    cluster.backends[0]._stay_silent = answer_slowly
+    async with cluster:
+        sent_at = anyio.current_time()
+        assert (await cluster.ask("a", "pay", 700, b"x")).target == "502"
+        assert anyio.current_time() - sent_at < 0.7 + 0.5
--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -18,6 +18,10 @@
 from thornladder.node.streams import STREAM_CLOSED_ERRORS, has_unread_data
 from thornladder.settings import Address
 
+# Of a body without a length: as much as a large one has brought when the client's time is nearly up.
+LIKELY_LARGE_BYTES = 16 * 1024
+BEGIN_MARGIN_SECONDS = 0.1  # before the client's time
+
 
 class Stage(Enum):
     """How far a request has come; until `SENT` it cannot have run."""
@@ -146,7 +150,7 @@
         if self.body_pipe is not None:
             return UpstreamConnection.STREAM_STALL_TIMEOUT_SECONDS
         if self.ends_with_connection:
-            return None
+            return self._time_to_begin()
         if self.on_streaming is None or not self.is_ok or self.length is not None or not self.body:
             return None
         return max(
@@ -161,19 +165,20 @@
         # Of a body that is not passed on nothing is needed.
         if self.is_ok or (self.room is None and self.size <= MAX_BUFFERED_BYTES):
             self.body += data
-        if self.should_stream or self._is_slow_without_length:
+        if self.should_stream:
             await self.start_streaming(connection)
         return True
 
-    @property
-    def _is_slow_without_length(self) -> bool:
-        """Whether a body that ends with its connection still goes on when it need not be awaited any more.
+    def _time_to_begin(self) -> float | None:
+        """Seconds until a body that ends with its connection has to be begun, or None for never.
 
-        One that neither goes on nor ends is not begun: it may be spoilt, and its client can still be told.
+        Of a large body only the beginning is owed in the client's time, a small one has to be whole by then.
+        Which of the two it is, is not known before: what has come tells.
         """
-        seconds = anyio.current_time() - self.head_received_at
-        may = self.on_streaming is not None and self.is_ok and self.ends_with_connection
-        return may and seconds > UpstreamConnection.UNKNOWN_LENGTH_BUFFER_SECONDS
+        if self.on_streaming is None or not self.is_ok or self.size < LIKELY_LARGE_BYTES:
+            return None
+        begin_at = anyio.current_effective_deadline() - BEGIN_MARGIN_SECONDS
+        return max(begin_at - anyio.current_time(), 0.0)
 
     async def start_streaming(self, connection: UpstreamConnection) -> None:
         """Hands the response to its client, with what has arrived of the body; the rest follows."""
