--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -95,8 +95,8 @@
             await client.stream.receive()
 
 
-# Found by the soak under pressure: the rest of a refused large request was read in small parts, each a turn of
-# the event loop, and the next request waited behind it for seconds; a body of many lines passed for a head.
+# Found by the soak under pressure: the rest of a refused large request was read in small parts, each a turn
+# of the event loop, and the next request waited behind it; a body of many lines passed for a head.
 @pytest.mark.parametrize("content", [b"x", b"\n"], ids=["plain", "lines"])
 async def test_the_rest_of_a_refused_request_is_dropped_in_few_reads(
     content: bytes, monkeypatch: pytest.MonkeyPatch
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -349,9 +349,10 @@
                     continue
             if self.discarding:
                 # What is dropped takes no memory; a request behind it must not wait for many small reads.
-                data += streams.read_at_once(self.stream, self.MAX_DISCARDED_BYTES)
+                data += streams.read_at_once(self.stream, MAX_BUFFERED_BYTES)
             self.http.receive_data(data)
-            if self.download is not None and len(self.http.trailing_data[0]) > MAX_BUFFERED_BYTES:
+            has_next = self.download is not None and not self.discarding
+            if has_next and len(self.http.trailing_data[0]) > MAX_BUFFERED_BYTES:
                 return  # the client has sent too much while its response is still being streamed
             if self._reject_too_many_fields():
                 continue
