A process beside a crowd ends before the earliest kill

Cause, by a trace of its last steps: the signal was taken in 0.10 to 0.25 s late, as the event loop tells it some turns later, and turns took 50 to 110 ms; the schedule counted from then. And after the last answers, cancelling some 200 to 500 tasks and closing their connections took 0.3 s more.

Change: the signal's handler notes when it arrives, and the schedule counts from that. Once everything is answered or ended, the extensions are stopped and the end is logged, the program ends at once with code 0 (os._exit) in place of cancelling what it leaves. Within the tests' own process, and for other callers of service.run, tasks are cancelled as before.

--- a/thornladder/__main__.py
+++ b/thornladder/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Sequence
+from functools import partial
 
 import anyio
 import structlog
@@ -60,7 +61,14 @@
     try:
         log = structlog.get_logger()
         anyio.run(
-            service.run, config, initial_list, log, path, extensions, backend_options={"use_uvloop": True}
+            service.run,
+            config,
+            initial_list,
+            log,
+            path,
+            extensions,
+            partial(os._exit, 0),
+            backend_options={"use_uvloop": True},
         )
     except OSError as error:
         print(f"thornladder: {error}", file=sys.stderr)
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import fields, replace
 from functools import partial
 from typing import Any, NamedTuple
@@ -55,8 +55,9 @@
     log: Any,
     path: str = "",
     extensions: Sequence[NodeExtension] = (),
+    end_process: Callable[[], None] | None = None,
 ) -> None:
-    """Runs a node until it has drained after SIGTERM or SIGINT.
+    """Runs a node until it has drained after SIGTERM or SIGINT; then calls `end_process`, if given.
 
     `restored_list`: the endpoint list of the configuration file, used until discovery answers. `path`: the
     configuration file, read again on SIGHUP. Raises OSError if it cannot listen on a configured address.
@@ -141,7 +142,7 @@
         for extension in extensions:
             extension.start(context)
         termination = Termination(
-            front, host, partial(handover.announce_leaving, front), tasks, log, extensions
+            front, host, partial(handover.announce_leaving, front), tasks, log, extensions, end_process
         )
         await group.start(handle_signals, termination, reload, log)
         tasks.start("opening the listener", _start_accepting, front, host, handover, tasks, listener)
--- a/thornladder/node/termination.py
+++ b/thornladder/node/termination.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -32,21 +33,29 @@
         tasks: Tasks,
         log: Any,
         extensions: Sequence[NodeExtension],
+        end_process: Callable[[], None] | None = None,
     ) -> None:
-        """`announce_leaving` tells the node's other processes; it is called before the drain begins."""
+        """`announce_leaving` tells the node's other processes; it is called before the drain begins.
+
+        `end_process` ends the process once there is nothing left to do: cancelling some hundred connections
+        takes longer than the process may have. None: the tasks are cancelled.
+        """
+        self.end_process = end_process
         self.front, self.host, self.announce_leaving = front, host, announce_leaving
         self.tasks, self.log, self.extensions = tasks, log, extensions
         self.begun = False
 
-    def begin(self, signal_name: str, before_start: bool = False) -> None:
+    def begin(self, signal_name: str, before_start: bool = False, arrived_at: float = math.inf) -> None:
         """Starts the shutdown; does nothing if it has begun.
 
-        `before_start`: the signal was sent at some time before this process could handle it.
+        `before_start`: the signal was sent at some time before this process could handle it. `arrived_at`:
+        when it arrived, by the host's clock; the event loop may have been busy since.
         """
         if self.begun:
             return
         self.begun = True
-        signalled_at = self.host.last_live_at - (ACCEPT_SECONDS if before_start else 0.0)
+        latest = min(self.host.last_live_at, arrived_at)
+        signalled_at = latest - (ACCEPT_SECONDS if before_start else 0.0)
         schedule = ShutdownSchedule(signalled_at, self.front.server_state.shutdown_deadline)
         self.log.info("leaving", signal=signal_name)
         self.tasks.start("leaving", self._run, schedule)
@@ -62,6 +71,8 @@
         finally:
             # From here on there is nothing left that a signal could ask for, and nobody to handle one.
             signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+            if self.end_process is not None:
+                self.end_process()
             self.tasks.cancel_all()
 
     def _announce(self) -> None:
@@ -114,12 +125,22 @@
 ) -> None:
     """Reloads the configuration on SIGHUP and shuts down on SIGTERM or SIGINT, until it is cancelled."""
     pending = signal.sigpending()
+    arrivals: dict[int, float] = {}
     with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
+        for signal_number in HANDLED_SIGNALS:
+            # Runs at once; the receiver is told by the event loop, some of its turns later.
+            signal.signal(
+                signal_number, lambda number, _: arrivals.setdefault(number, termination.host.clock())
+            )
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         task_status.started()
         async for signal_number in signals:
             if signal_number is not signal.SIGHUP:
-                termination.begin(signal_number.name, before_start=signal_number in pending)
+                termination.begin(
+                    signal_number.name,
+                    before_start=signal_number in pending,
+                    arrived_at=arrivals.get(signal_number, math.inf),
+                )
                 continue
             try:
                 reload()
