A crowd that comes back at once does not keep a process from its other work

Cause: all that the kernel had queued was accepted in one turn; a costly request (large, in chunks, or not whole yet) on a new connection was served in full although the process was behind; and a process that ends refused without end what kept connecting.

Change: 32 connections are accepted before others have their turn; while the latest timer was over 50 ms late, a new connection's costly request is refused unread (503, nothing has run); the last refusing stops after the length of the queue.

--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -30,6 +30,7 @@
     DRAIN_POLL_SECONDS = 0.02  # between looks at what is still open
     # Share of the connection limit from which idle connections are closed.
     NEAR_LIMIT_SHARE = 0.9
+    MAX_ACCEPTS_PER_TURN = 32  # before those accepted earlier have their turn
     BACKLOG = 1024  # connections that the kernel may queue before this node accepts them
     IDLE_TIMEOUT_SECONDS = 10.0  # lets clients with occasional requests reuse their connections
     # Beyond the limit a request is refused at once: it would wait unread in the kernel's queue for as long as
@@ -154,9 +155,11 @@
 
         With `refuse_all` nothing needs room: requests are refused, and connections without one are closed.
         """
+        accepted = 0
         while refuse_all or self._may_accept:
             try:
                 client_socket, _ = listener.accept()
+                accepted += 1
             except BlockingIOError:
                 return True
             except ConnectionAbortedError:
@@ -169,6 +172,10 @@
                 self._refuse_connection(client_socket)
             else:
                 self._take_connection(client_socket)
+            if refuse_all and accepted >= self.BACKLOG:
+                return False  # clients that come back at once must not keep a process that ends
+            if not refuse_all and accepted % self.MAX_ACCEPTS_PER_TURN == 0:
+                await anyio.sleep(0.0)
         return False
 
     def _refuse_connection(self, client_socket: socket.socket) -> None:
@@ -197,7 +204,11 @@
 
     def _early_nack(self, initial_data: bytes, is_lagging: bool, unread_seconds: float) -> bytes | None:
         """The encoded nack for a new connection's request, if it is refused without being served."""
-        if self.connection_count >= self.max_connections and initial_data:
+        if not initial_data:
+            return None
+        early_shedder = self.server_state.early_shedder
+        is_costly = early_shedder.refuse(initial_data, True) is None
+        if self.connection_count >= self.max_connections or (is_costly and self.server_state.is_overloaded()):
             return messages.encode_nack(0.0, True)
         if is_lagging:
             return self.server_state.early_shedder.nack(initial_data, unread_seconds, True)
--- a/thornladder/node/clients/server_state.py
+++ b/thornladder/node/clients/server_state.py
@@ -59,6 +59,7 @@
     ) -> None:
         """`client_pool_limit`: how many connections clients have at most for their requests."""
         self.handler, self.clock, self.memory_budget, self.log = handler, clock, memory_budget, log
+        self.is_overloaded: Callable[[], bool] = lambda: False  # whether costly requests are not begun
         self.is_lagging = is_lagging  # whether this node is late in reading what it has received
         self.shed_policy = shed_policy
         self.closures, self.client_pool = ClosureLog(clock, log), ClientPool(client_pool_limit, log)
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -43,20 +43,26 @@
 class EventLoopLag:
     """Decaying peak of the event loop's lag over about the last second, measured by timers that fire late."""
 
+    OVERLOAD_SECONDS = 0.05  # of the latest timer: there is more to do in a turn than requests can wait for
     THRESHOLD_SECONDS = 0.005  # a shorter lag is no more than a response takes on its way to the client
     DECAY = 0.97  # per timer; about twenty fire each second while anything is in flight
 
     def __init__(self) -> None:
-        self.peak = 0.0  # seconds
+        self.peak = self.latest = 0.0  # seconds
 
     @property
     def is_late(self) -> bool:
         """Whether the lag is so long that it is worth measuring how long received data has waited."""
         return self.peak > self.THRESHOLD_SECONDS
 
+    @property
+    def is_overloaded(self) -> bool:
+        """Whether the event loop has just been so late that costly requests are not begun."""
+        return self.latest > self.OVERLOAD_SECONDS
+
     def observe(self, delay: float) -> None:
         """Records by how many seconds a timer fired late."""
-        self.peak = max(delay, self.DECAY * self.peak)
+        self.peak, self.latest = max(delay, self.DECAY * self.peak), delay
 
 
 class NodeHost:
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -125,6 +125,7 @@
             handler, host.node.offerings, clock, memory_budget, lambda: host.lag.is_late, shed_policy, log,
             max(min(round(CLIENT_POOL_SHARE * config.sockets), max_clients), 4),
         )  # fmt: skip
+        server_state.is_overloaded = lambda: host.lag.is_overloaded
         front = Front(server_state, max_clients, tasks, config.inherited is not None)
         extra_endpoints = {
             path: endpoint
