Soak: nodes with little memory beside crowds, answers without a length, ids again

A fifth kind, pressure (rig/soak/pressure_plan.py): 32 to 96 MB, 256 to 1,024 descriptors, 60 to 400 clients of one kind or all mixed that come back at once, also amid starts, answers without a length (a third reset on their way), slow answers, clients that leave and come again under their id. The checker holds a process's anonymous memory, sampled every 20 ms, against its limit. Nodes run without rich, as deployed.

--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -11,17 +11,14 @@
 
 import anyio
 import pytest
-from harness import SETTINGS, FakeServer, ReceivedMessage, reply, script_command
+from harness import SETTINGS, FakeServer, ReceivedMessage, reply
 from test_process import connect, running_node
 
 from thornladder.node.streams import STREAM_CLOSED_ERRORS
 from thornladder.rig.crowd import CrowdKind, MemorySampler, crowd_command
+from thornladder.rig.soak.node import NODE_COMMAND
 
 pytestmark = pytest.mark.anyio
-# Without `rich`, which the deployed node does not have and structlog would import.
-LEAN_NODE = script_command(
-    "import sys; sys.modules['rich'] = None; from thornladder.__main__ import main; sys.exit(main())"
-)
 CROWD_SIZE = 600  # more than a process of 1,024 descriptors takes at once
 CROWD_START_SECONDS, CROWD_SECONDS = 0.5, 3.0
 DEADLINE_SECONDS = 1.0
@@ -54,7 +51,7 @@
         offering |= {"HardLimit": 10_000_000}
     servers = [FakeServer(answer) for _ in range(4)]
     async with running_node(
-        folder, *servers, info=info, sockets=sockets, memory=memory, command=LEAN_NODE
+        folder, *servers, info=info, sockets=sockets, memory=memory, command=NODE_COMMAND
     ) as (process, port):
         sampler = MemorySampler(process.pid)
         crowd = await anyio.open_process(crowd_command(("127.0.0.1", port), kind, size, 1))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,6 +13,7 @@
 import pytest
 from harness import script_command, wait_until
 
+from thornladder.rig.crowd import CrowdKind
 from thornladder.rig.soak.backend import FaultyBackend
 from thornladder.rig.soak.clock import MachineLag
 from thornladder.rig.soak.network_plan import draw_network_plan
@@ -21,6 +22,7 @@
     Action,
     Answers,
     BackendMode,
+    Crowding,
     Hold,
     ModeChange,
     Shutdown,
@@ -29,6 +31,7 @@
     draw_plan,
 )
 from thornladder.rig.soak.play import Soak
+from thornladder.rig.soak.pressure_plan import draw_pressure_plan
 from thornladder.rig.soak.records import Attempt, End, ProcessRecord, RequestRecord, SoakRecords
 from thornladder.rig.soak.service_plan import draw_service_plan
 from thornladder.rig.soak.upgrade_plan import draw_upgrade_plan
@@ -179,6 +182,45 @@
     assert records.violations() == []
 
 
+# Report 98e2ab: little memory, crowds that come back at once amid starts, answers without a length, ids that
+# come again.
+@pytest.mark.parametrize("seed", [0, 3, 5])
+async def test_no_request_is_lost_and_no_memory_limit_passed_under_pressure(
+    seed: int, tmp_path: Path
+) -> None:
+    records = await Soak(draw_pressure_plan(seed), tmp_path).play()
+    assert records.requests and records.processes
+    assert records.violations() == []
+
+
+# A node that reserves nothing for what it reads.
+NODE_WITHOUT_RESERVATIONS = """
+import sys
+sys.modules["rich"] = None
+from thornladder.__main__ import main
+from thornladder.node import streams
+from thornladder.node.memory_budget import Reservation
+from thornladder.node.memory_plan import MemoryPlan
+
+async def grow_to(reservation, size):
+    reservation.size = 0
+
+Reservation.grow_to = grow_to
+MemoryPlan.max_connections = lambda plan, wanted: wanted
+sys.exit(main())
+"""
+
+
+async def test_the_soak_finds_a_process_over_its_memory(tmp_path: Path) -> None:
+    shutdown = Shutdown(3.0, True, (Action(0.0, Step.TERMINATE),))
+    crowding = Crowding(CrowdKind.NEARLY_WHOLE_BODY, 400)
+    plan = replace(
+        draw_pressure_plan(0), shutdowns=((shutdown,),), descriptors=1024, memory_mb=32, crowding=crowding
+    )
+    records = await Soak(plan, tmp_path, script_command(NODE_WITHOUT_RESERVATIONS)).play()
+    assert any("MB of memory" in violation for violation in records.violations())
+
+
 @pytest.mark.parametrize(
     "ended_at, signalled_at, answer_cut, allowed",
     [
--- a/thornladder/measures/soak.py
+++ b/thornladder/measures/soak.py
@@ -1,15 +1,18 @@
 """`make soak`: seeded faults on real node processes, with clients that hold every answer against the rules.
 
-Four kinds. Shutdowns: a fleet of 2 to 8 nodes under signals in series, faulty backends, for some a crowd of
+Five kinds. Shutdowns: a fleet of 2 to 8 nodes under signals in series, faulty backends, for some a crowd of
 idle connections (`rig/soak/plan.py`); clients send on all that is open until SIGKILL, at the platform's
 earliest. Service: clients that rest on kept connections, one node that has all of them while the others are
 in standby, hold-ups, restarts (`rig/soak/service_plan.py`). Network: faulty links to backends and discovery,
 answers that are large, cut or early, large requests, changes of the list (`rig/soak/network_plan.py`).
 Upgrade: two processes of a node at one listening socket, some ended amid their start or both together
-(`rig/soak/upgrade_plan.py`).
+(`rig/soak/upgrade_plan.py`). Pressure: nodes with little memory beside a crowd of clients that are slow or
+dense in each phase, answers without a length, clients that come again under the id that they left
+(`rig/soak/pressure_plan.py`).
 
 Every request has to get one whole answer in time, or to be left unread on a connection that had been used and
-whose end crossed it; a once-only one runs once at most; every process has to end by itself.
+whose end crossed it; a once-only one runs once at most; every process has to end by itself, and to stay
+within its memory.
 """
 
 from __future__ import annotations
@@ -30,6 +33,7 @@
 from thornladder.rig.soak.network_plan import draw_network_plan
 from thornladder.rig.soak.plan import draw_plan
 from thornladder.rig.soak.play import Soak
+from thornladder.rig.soak.pressure_plan import draw_pressure_plan
 from thornladder.rig.soak.service_plan import draw_service_plan
 from thornladder.rig.soak.upgrade_plan import draw_upgrade_plan
 
@@ -38,6 +42,7 @@
     "service": draw_service_plan,
     "network": draw_network_plan,
     "upgrade": draw_upgrade_plan,
+    "pressure": draw_pressure_plan,
 }
 
 
--- a/thornladder/rig/crowd.py
+++ b/thornladder/rig/crowd.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+import os
 import sys
 from contextlib import suppress
 from enum import Enum
@@ -128,7 +129,7 @@
 
     def _head(self, offering: str, framing: str, fields: bytes = b"") -> bytes:
         self._request_count += 1
-        id = f"crowd-{self.kind.name}-{self._request_count}"
+        id = f"crowd-{os.getpid()}-{self._request_count}"
         method = "GET" if framing.endswith(": 0") else "POST"
         lines = (f"{method} /{offering} HTTP/1.1", "Host: a", f"X-Call-Id: {id}", "X-Budget-Ms: 900", framing)
         return "".join(f"{line}\r\n" for line in lines).encode() + fields + b"\r\n"
--- a/thornladder/rig/soak/backend.py
+++ b/thornladder/rig/soak/backend.py
@@ -19,6 +19,7 @@
 
 SLOW_SECONDS = 0.25
 LISTEN_AGAIN_SECONDS, LISTEN_POLL_SECONDS = 2.0, 0.02
+MAX_PIECE_PAUSE_SECONDS = 0.25  # between pieces of a slow answer
 LARGE_ANSWER_BYTES = 300_000  # more than a node buffers
 LARGE_REQUEST_BYTES = 64 * 1024  # longer ones are streamed by the node
 
@@ -125,16 +126,43 @@
             await anyio.sleep(self.rng.uniform(0.0, 0.05))
             streams.reset(connection.stream)
             return False
+        if self.rng.random() < self.answers.unframed_share:
+            await self._send_unframed(connection, attempt, content)
+            return False
         await self._send_content(connection, attempt, content)
         return True
 
-    async def _send_content(self, connection: HttpConnection, attempt: Attempt, content: bytes) -> None:
+    async def _send_unframed(self, connection: HttpConnection, attempt: Attempt, content: bytes) -> None:
+        """Answers without a length; a third of these are reset on their way."""
+        is_cut = self.rng.random() < 0.33
+        attempt.answer_cut = is_cut
+        await connection.stream.send(b"HTTP/1.1 200 OK\r\n\r\n")
+        await self._send_pieces(connection, attempt, content[: len(content) // 2] if is_cut else content)
+        if is_cut:
+            with anyio.CancelScope(shield=True):
+                await anyio.sleep(self.rng.uniform(0.0, 0.05))
+            streams.reset(connection.stream)
+
+    async def _send_pieces(self, connection: HttpConnection, attempt: Attempt, content: bytes) -> None:
+        """Sends bytes at once or, some of them, in pieces over a while."""
+        pieces = 8 if self.rng.random() < self.answers.slow_share else 1
+        size = len(content) // pieces + 1
         try:
-            await self._send(connection, 200, content)
+            for start in range(0, len(content), size):
+                await connection.stream.send(content[start : start + size])
+                if pieces > 1:
+                    await anyio.sleep(self.rng.uniform(0.0, MAX_PIECE_PAUSE_SECONDS))
         except anyio.get_cancelled_exc_class():
-            attempt.answer_cut = True  # this backend dies amid its answer
+            attempt.answer_cut = True  # this backend dies amid its answer, as a process does: with a reset
+            streams.reset(connection.stream)
             raise
 
+    async def _send_content(self, connection: HttpConnection, attempt: Attempt, content: bytes) -> None:
+        head = connection.protocol.send(self._response(200, content)) or b""
+        await self._send_pieces(connection, attempt, head + content)
+        connection.protocol.send(h11.Data(data=content))
+        connection.protocol.send(h11.EndOfMessage())
+
     def _content(self, head: h11.Request, request_length: int) -> bytes:
         id = dict(head.headers).get(b"x-call-id", b"").decode()
         content = f"{id} {request_length}".encode()
--- a/thornladder/rig/soak/client.py
+++ b/thornladder/rig/soak/client.py
@@ -149,11 +149,16 @@
         draw_pause: Callable[[Random], float] = busy_pause,
         attentive_share: float = 0.5,
         large_upload_share: float = 0.03,
+        leave_share: float = 0.02,
+        return_share: float = 0.0,
     ) -> None:
         """`attentive_share`: how often the client looks at its resting connection before it sends.
 
         `large_upload_share`: how many of the requests with a body have one that a node streams.
+        `leave_share`: how often it closes its connection before its answer; `return_share`: how often it then
+        comes again with the same id.
         """
+        self.leave_share, self.return_share = leave_share, return_share
         self.name, self.choose_target, self.records, self.rng, self.clock = (
             name, choose_target, records, rng, clock
         )  # fmt: skip
@@ -197,19 +202,26 @@
             self.connection.close()
             self.connection = None
 
-    async def _request(self, is_repeat: bool = False) -> None:
-        """Sends one request; one that the node left unread is sent again, once, on a new connection."""
+    async def _request(self, is_repeat: bool = False, left: RequestRecord | None = None) -> None:
+        """Sends one request; one that the node left unread is sent again, once, on a new connection.
+
+        `left`: a request whose client has left, and comes again with its id.
+        """
         assert self.connection is not None
         offering = self.rng.choice(self.target.offerings())
+        if left is not None:
+            offering = next(one for one in self.target.offerings() if one.name == left.offering)
+            left.returned_at = self.clock.now()
         self.count += 1
         record = RequestRecord(
-            f"{self.name}-{self.count}",
+            f"{self.name}-{self.count}" if left is None else left.id,
             offering.name,
             self.target.number,
             offering.deadline,
             reused=self.connection.requests > 0,
         )
         self.records.requests.append(record)
+        record.began_at = self.clock.now() if left is not None else 0.0
         record.lost_before, record.waited_before = self.clock.lost_seconds(), self.target.waited_seconds()
         try:
             await self._exchange(self.connection, offering, record)
@@ -224,6 +236,10 @@
             self._drop()
         if record.end is End.RESET and not is_repeat and await self._connect():
             await self._request(is_repeat=True)
+        elif record.end is End.LEFT and left is None and self.rng.random() < self.return_share:
+            await anyio.sleep(self.rng.uniform(0.0, 0.2))
+            if await self._connect():
+                await self._request(left=record)
 
     async def _exchange(self, connection: RawConnection, offering: Offering, record: RequestRecord) -> None:
         connection.buffer = b""
@@ -267,7 +283,7 @@
         record.ended_before = connection.ended()
         await connection.send(pieces[-1])
         record.sent_at = self.clock.now()
-        if self.rng.random() < 0.02:
+        if self.rng.random() < self.leave_share:
             await self._leave(connection, record, self.rng.uniform(0.0, offering.deadline))
 
     async def _leave(self, connection: RawConnection, record: RequestRecord, seconds: float) -> None:
@@ -298,7 +314,12 @@
         headers = {
             name.strip().lower(): value.strip() for name, _, value in (line.partition(b":") for line in lines)
         }
-        if len(body) < int(headers.get(b"content-length", b"0")):
+        if headers.get(b"transfer-encoding", b"").lower() == b"chunked":
+            content = decode_chunks(body)
+            if content is None:
+                return False
+            body = content
+        elif len(body) < int(headers.get(b"content-length", b"0")):
             return False
         record.status = int(status_line.split()[1])
         record.body_id = body.split(b" ", 1)[0].decode()
@@ -307,3 +328,20 @@
         if headers.get(b"connection", b"").lower() == b"close" or not record.sent_at:
             self._drop()
         return True
+
+
+def decode_chunks(data: bytes) -> bytes | None:
+    """The content of a body in chunks, which ends with `data`; None while it is not whole."""
+    content, offset = b"", 0
+    while True:
+        line_end = data.find(b"\r\n", offset)
+        if line_end < 0:
+            return None
+        size = int(data[offset:line_end].split(b";")[0], 16)
+        start = line_end + 2
+        if len(data) < start + size + 2:
+            return None
+        content += data[start : start + size]
+        offset = start + size + 2
+        if size == 0:
+            return content
--- a/thornladder/rig/soak/node.py
+++ b/thornladder/rig/soak/node.py
@@ -18,6 +18,7 @@
 import anyio
 
 from thornladder.children import signal_on_parent_exit
+from thornladder.rig.crowd import MemorySampler
 from thornladder.rig.soak.client import Offering
 from thornladder.rig.soak.clock import SoakClock, processor_wait_seconds
 from thornladder.rig.soak.plan import (
@@ -34,7 +35,14 @@
 from thornladder.rig.standins import DiscoveryServer
 from thornladder.settings import Address
 
-NODE_COMMAND = (sys.executable, "-B", "-m", "thornladder")
+# Without `rich`, which a deployed node does not have and structlog would import.
+NODE_SCRIPT = """
+import sys
+sys.modules["rich"] = None
+from thornladder.__main__ import main
+sys.exit(main())
+"""
+NODE_COMMAND = (sys.executable, "-B", "-c", NODE_SCRIPT)
 FRONT_NOTICES_SECONDS = (0.2, 0.4)  # after SIGTERM, for which new connections go on coming
 READY_SECONDS = 30.0  # in which a node has to become ready
 STANDBY_NOTICED_SECONDS = 0.3  # after which the front sends no new connections to a node in standby
@@ -125,6 +133,7 @@
         self.connect_until = math.inf
         self.in_service = False  # ready, and not told to end
         self.last_wait_seconds = 0.0  # as sampled
+        self.memory = MemorySampler(0)  # of the present or last process
         self.done = False
 
     @property
@@ -152,6 +161,7 @@
         while not self.done:
             if self.process is not None:
                 self.last_wait_seconds = processor_wait_seconds(self.process.pid)
+                self.memory.sample()
             await anyio.sleep(WAIT_SAMPLE_SECONDS)
 
     async def run(self) -> None:
@@ -171,10 +181,12 @@
                 self.process.wait()
 
     def _write_config(self) -> None:
+        plan = self.soak.plan
+        limits = {"cores": 1.0, "memory_mb": plan.memory_mb, "sockets": plan.descriptors}
         document = {
             "name": f"n{self.number}", "listen": f"{self.address[0]}:{self.address[1]}",
             "discovery": "{}:{}".format(*self.soak.discovery_address), "seed": f"{self.soak.plan.seed:08x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.soak.plan.descriptors},
+            "limits": limits,
             "settings": settings_with(self.longest_deadline), "known": self.soak.discovery.full_list(),
         }  # fmt: skip
         if self.soak.plan.standbys or self.listener:
@@ -199,6 +211,7 @@
                 preexec_fn=prepare_process,
                 pass_fds=[self.listener.fileno()] if self.listener else (),
             )
+        self.memory = MemorySampler(self.process.pid)
 
     async def _wait_until_ready(self) -> None:
         with anyio.fail_after(READY_SECONDS):
@@ -276,6 +289,8 @@
                 exit_code,
                 started_serving,
                 self._log_errors(),
+                self.memory.anonymous,
+                self.soak.plan.memory_mb,
             )
         )
         (self.folder / "log").rename(self.folder / f"log-{len(list(self.folder.glob('log*')))}")
--- a/thornladder/rig/soak/plan.py
+++ b/thornladder/rig/soak/plan.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from random import Random
 
+from thornladder.rig.crowd import CrowdKind
 from thornladder.rig.soak.link import LinkFaults
 
 KILL_SECONDS = 0.7  # after SIGTERM and the longest deadline: the platform's earliest SIGKILL
@@ -82,6 +83,8 @@
 
     seconds: tuple[float, float] = (0.0, 0.0)  # shortest and longest time of one
     large_share: float = 0.0  # how many of them a node has to stream
+    unframed_share: float = 0.0  # how many have no length and end with their connection
+    slow_share: float = 0.0  # how many are written in pieces, over up to two seconds
 
 
 SMALL_ANSWERS = Answers()
@@ -122,6 +125,14 @@
     lifecycle: str
 
 
+@dataclass(frozen=True)
+class Crowding:
+    """Clients that cost each node much memory or time, for as long as it is there."""
+
+    kind: CrowdKind
+    size: int
+
+
 @dataclass(frozen=True)
 class SoakPlan:
     """Everything that a seed determines; what the processes make of it is not determined."""
@@ -143,6 +154,10 @@
     list_changes: tuple[ListChange, ...] = ()
     backend_links: LinkFaults | None = None  # between the nodes and each backend
     discovery_link: LinkFaults | None = None
+    memory_mb: int = 192  # limit of each node
+    crowding: Crowding | None = None
+    leave_share: float = 0.02  # of requests, whose clients leave before their answer
+    return_share: float = 0.0  # of clients that leave: they come again with the same id
 
 
 # Pauses are drawn anew for each of these series.
--- a/thornladder/rig/soak/play.py
+++ b/thornladder/rig/soak/play.py
@@ -11,14 +11,13 @@
 
 import anyio
 
+from thornladder.rig.crowd import crowd_command
 from thornladder.rig.soak.backend import FaultyBackend
 from thornladder.rig.soak.client import RawConnection, SoakClient, resting_pause
 from thornladder.rig.soak.clock import MachineLag
 from thornladder.rig.soak.link import FaultyLink, LinkFaults
 from thornladder.rig.soak.node import NODE_COMMAND, ONCE_ONLY, SoakNode
-from thornladder.rig.soak.plan import (
-    SoakPlan,
-)
+from thornladder.rig.soak.plan import Crowding, SoakPlan
 from thornladder.rig.soak.records import SoakRecords
 from thornladder.rig.soak.upgrade import UpgradedNode
 from thornladder.rig.standins import DiscoveryServer, HttpServer
@@ -33,7 +32,8 @@
         self.started_at = time.monotonic()
         self.lag = MachineLag()
         self.discovery = DiscoveryServer()
-        self.records = SoakRecords(once_only=ONCE_ONLY, crowded=plan.crowd > 0)
+        is_crowded = plan.crowd > 0 or plan.crowding is not None
+        self.records = SoakRecords(once_only=ONCE_ONLY, crowded=is_crowded)
         self.nodes: list[SoakNode | UpgradedNode] = []
         # Where nodes reach the servers: mostly at links before them.
         self.backend_addresses: list[Address] = []
@@ -114,10 +114,14 @@
                 rng,
                 self,
                 large_upload_share=self.plan.large_upload_share,
+                leave_share=self.plan.leave_share,
+                return_share=self.plan.return_share,
             )
             group.start_soon(client.run, lambda: node.done)
         if self.plan.crowd:
             group.start_soon(self._run_crowd, node)
+        if self.plan.crowding is not None:
+            group.start_soon(self._run_crowding, node, self.plan.crowding)
 
     async def _run_service(self, tasks: anyio.abc.TaskGroup) -> None:
         """Starts what concerns the whole fleet, once all nodes are ready."""
@@ -138,6 +142,18 @@
         ready = [node for node in self.nodes if node.connectable()]
         return rng.choice(ready) if ready else None
 
+    async def _run_crowding(self, node: SoakNode | UpgradedNode, crowding: Crowding) -> None:
+        """Runs a crowd against a node in a process of its own, until the node is done."""
+        command = crowd_command(node.address, crowding.kind, crowding.size, self.plan.seed)
+        process = await anyio.open_process(command)
+        try:
+            while not node.done:
+                await anyio.sleep(0.05)
+        finally:
+            process.kill()
+            with anyio.CancelScope(shield=True):
+                await process.wait()
+
     async def _run_crowd(self, node: SoakNode | UpgradedNode) -> None:
         """Keeps connections open on which nothing is sent, and opens new ones for those that end."""
         crowd: list[RawConnection] = []
--- a/thornladder/rig/soak/records.py
+++ b/thornladder/rig/soak/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import signal
 from collections import Counter
 from dataclasses import dataclass, field
@@ -42,6 +43,8 @@
     end: End = End.UNSENT
     status: int = 0
     body_id: str = ""  # first word of the body of a 200
+    began_at: float = 0.0  # when its first byte was about to be sent
+    returned_at: float = math.inf  # when its client came again with the same id
     answer_streamed: bool = False  # whether the answer was too large for a node to buffer
     # Seconds by which the machine had been late in all when the request was begun, and when it ended.
     lost_before: float = 0.0
@@ -86,6 +89,8 @@
     exit_code: int
     expects_clean_exit: bool
     log_errors: list[str] = field(default_factory=list)
+    peak_memory: float = 0.0  # anonymous, in MB of 2**20 bytes
+    memory_limit: float = math.inf
 
 
 @dataclass
@@ -110,7 +115,12 @@
         return found
 
     def _check_request(self, request: RequestRecord) -> str | None:
-        attempts = self.attempts.get(request.id, [])
+        # Those of another request with the same id are no matter of this one.
+        attempts = [
+            attempt
+            for attempt in self.attempts.get(request.id, [])
+            if request.began_at <= attempt.at < request.returned_at
+        ]
         where = (
             f"{request.id} {request.offering} at node {request.node}, sent {request.sent_at:.3f}, "
             f"deadline {request.deadline:.3f}, ended {request.ended_at:.3f}, reused {request.reused}"
@@ -175,6 +185,8 @@
                 f"{where}: still running {process.kill_after:.3f} s after the signal, "
                 f"{process.waited_seconds:.3f} s of which without a processor"
             )
+        if process.peak_memory > process.memory_limit:
+            return f"{where}: {process.peak_memory:.1f} MB of memory, {process.memory_limit} allowed"
         if process.expects_clean_exit and process.exit_code != 0:
             return f"{where}: exit code {process.exit_code}"
         # SIGINT amid the imports of a Python program ends it with a traceback; it has taken nothing then.
