What a slow reader's machine takes counts as progress of its answer

Cause: progress was the time of the last write, or of a change in what the event loop has not written.

Change: progress is any change of what the other side has not acknowledged (TIOCOUTQ and the event loop's buffer).

--- a/tests/test_large.py
+++ b/tests/test_large.py
@@ -377,3 +377,30 @@
         host.end_push(id, 0, outcome)
         assert (record.final, len(record.pushes)) == (final, 1)
     assert not any(stats.in_flight for stats in health.stats.values()) and host.node.in_flight == 0
+
+
+# Report 98e2ab (b), by reading: an answer was cut after 10 s in which its client had not taken a whole part.
+@pytest.mark.parametrize("reads", [True, False], ids=["slow", "stalled"])
+async def test_a_slow_reader_gets_its_answer_and_a_stalled_one_is_cut(
+    reads: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(ClientConnection, "DOWNLOAD_STALL_SECONDS", 0.6)
+    async with LoopbackCluster(lambda _: reply(200, bytes(400_000))) as cluster:
+        with socket.socket() as client_socket:
+            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client_socket.connect(("127.0.0.1", cluster.port))
+            client_socket.setblocking(False)
+            client_socket.sendall(request_head("a", "Content-Length: 1") + b"x")
+            received, until = 0, anyio.current_time() + 3.0
+            while anyio.current_time() < until:
+                await anyio.sleep(0.1)
+                with suppress(BlockingIOError):
+                    received += len(client_socket.recv(2000)) if reads else 0
+            with suppress(ConnectionError), anyio.fail_after(10.0):
+                while received < 400_000:
+                    await anyio.wait_readable(client_socket)
+                    data = client_socket.recv(65536)
+                    if not data:
+                        break
+                    received += len(data)
+        assert (received > 400_000) is reads
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -79,8 +79,8 @@
         self.room_scope = anyio.CancelScope()
         # Memory that an answer takes which the kernel has not taken yet.
         self.answer_room: Reservation | None = None
-        # Unsent bytes when they were last seen to change, and when that was.
-        self.unsent_seen, self.last_write_progress = 0, server_state.clock()
+        # Undelivered bytes when they were last seen to change, and when that was.
+        self.undelivered_seen, self.last_write_progress = 0, server_state.clock()
         # `upload` and `download` as seen from the client: the bodies of the current request and response, if
         # they are streamed.
         self.upload: Upload | None = None
@@ -260,9 +260,9 @@
 
         A slow reader may take less than one part of an answer in any fixed time.
         """
-        unsent = streams.unsent_bytes(self.stream)
-        if unsent != self.unsent_seen:
-            self.unsent_seen, self.last_write_progress = unsent, now
+        undelivered = streams.undelivered_bytes(self.stream)
+        if undelivered != self.undelivered_seen:
+            self.undelivered_seen, self.last_write_progress = undelivered, now
         return now - max(self.last_write_progress, self.last_activity)
 
     def reclaimable_bytes(self, now: float, request_stall: float, answer_stall: float) -> int:
--- a/thornladder/node/streams.py
+++ b/thornladder/node/streams.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import os
 import select
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from enum import Enum
@@ -210,6 +213,18 @@
     return 0 if transport is None or transport.is_closing() else transport.get_write_buffer_size()
 
 
+def undelivered_bytes(stream: SocketStream) -> int:
+    """Returns how many written bytes the other side has not acknowledged, those in the kernel included.
+
+    It shrinks as the other side reads. What the kernel does not tell counts as none.
+    """
+    unsent = unsent_bytes(stream)
+    with suppress(Exception):
+        queued = fcntl.ioctl(_fileno(stream), termios.TIOCOUTQ, bytes(4))
+        return unsent + int.from_bytes(queued, sys.byteorder)
+    return unsent
+
+
 # `tcpi_last_data_recv` in Linux's `struct tcp_info`: milliseconds since data was last received.
 _LAST_DATA_RECEIVED = struct.Struct("52xI")
 
