--- a/Makefile
+++ b/Makefile
@@ -47,13 +47,14 @@
 measure-rollout: .venv-dev/done
 	.venv-dev/bin/python -m thornladder.measures.rollout $(if $(FULL),--full)
 
-# Some fifteen minutes: 50 seeds of each kind, on real processes: shut down, in service, behind faulty networks,
-# upgraded. SEEDS and FIRST choose others.
+# Some twenty minutes: 50 seeds of each kind, on real processes: shut down, in service, behind faulty networks,
+# upgraded, with little memory. SEEDS and FIRST choose others.
 soak: .venv-dev/done
 	.venv-dev/bin/python -m thornladder.measures.soak --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
 	.venv-dev/bin/python -m thornladder.measures.soak --kind service --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
 	.venv-dev/bin/python -m thornladder.measures.soak --kind network --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
 	.venv-dev/bin/python -m thornladder.measures.soak --kind upgrade --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
+	.venv-dev/bin/python -m thornladder.measures.soak --kind pressure --seeds $(or $(SEEDS),50) --first $(or $(FIRST),0)
 
 clean:
 	rm -rf .venv .venv-dev
--- a/thornladder/node/clients/early.py
+++ b/thornladder/node/clients/early.py
@@ -41,9 +41,9 @@
         retry_after = self.shed_policy(offering.name, time_left - unread_seconds, unread_seconds)
         return None if retry_after is None else messages.encode_nack(retry_after, closing)
 
-    def refuse(self, data: bytes, closing: bool) -> bytes | None:
-        """Returns an encoded nack if `data` is one complete simple request, whatever the shed policy says."""
-        return None if self._match_offering(data) is None else messages.encode_nack(0.0, closing)
+    def is_simple(self, data: bytes) -> bool:
+        """Whether `data` is one complete simple request, which costs little to serve."""
+        return self._match_offering(data) is not None
 
     def _match_offering(self, data: bytes) -> Offering | None:
         end = data.find(b"\r\n\r\n") + 4
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -207,11 +207,12 @@
         if not initial_data:
             return None
         early_shedder = self.server_state.early_shedder
-        is_costly = early_shedder.refuse(initial_data, True) is None
-        if self.connection_count >= self.max_connections or (is_costly and self.server_state.is_overloaded()):
+        if self.connection_count >= self.max_connections:
+            return messages.encode_nack(0.0, True)
+        if self.server_state.is_overloaded() and not early_shedder.is_simple(initial_data):
             return messages.encode_nack(0.0, True)
         if is_lagging:
-            return self.server_state.early_shedder.nack(initial_data, unread_seconds, True)
+            return early_shedder.nack(initial_data, unread_seconds, True)
         return None
 
     def _read_initial(self, client_socket: socket.socket) -> bytes | None:
--- a/thornladder/node/operations.py
+++ b/thornladder/node/operations.py
@@ -58,6 +58,9 @@
             "released_connections": client_pool.released_count,
             "idle_closes": {reason.value: count for reason, count in closures.counts.items()},
             "crossed_closes": closures.crossed_count,
+            "message_bytes": server_state.memory_budget.used,
+            "max_message_bytes": server_state.memory_budget.limit,
+            "memory_refusals": server_state.memory_refusals,
         }  # fmt: skip
         return AdminResponse(200 if ready else 503, payload)
 
