A client that asks on and never reads has one answer in hand

Cause: the next request was handled while the answer before it lay unwritten; each answer of up to 64 KiB went behind it into the connection's queue, and its reservation took the place of the one before, which was then never given back.

Change: a request that has been read is not handled until the client's machine has taken the answer before; the limit on clients that take nothing ends such a connection. A reservation that is replaced all the same is given back.

Before: the new test fails (2 requests handled, 4 of 4 runs); with the second change alone too.

--- a/tests/test_upload_limits.py
+++ b/tests/test_upload_limits.py
@@ -357,3 +357,29 @@
         client = await cluster.client()
         await client.stream.send(encode_request("a", 600, b"x", False))
         assert (await answer_within(client, 0.6 + GRACE_SECONDS)).target == "502"
+
+
+async def test_a_client_that_asks_on_and_never_reads_has_one_answer_here(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against answers that pile up, uncounted, for a client that asks again before it has read."""
+    create_listener = service._create_listener
+
+    def create_with_small_buffers(address: tuple[str, int]) -> socket.socket:
+        listener = create_listener(address)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        return listener
+
+    monkeypatch.setattr(service, "_create_listener", create_with_small_buffers)
+    async with LoopbackCluster(lambda _: reply(200, BODY[:60_000])) as cluster:
+        with socket.socket() as client_socket:
+            client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client_socket.connect(("127.0.0.1", cluster.port))
+            for number in range(20):
+                client_socket.sendall(encode_request(f"a{number}", 900, b"x", False))
+                await anyio.sleep(0.01)
+            await wait_until(lambda: cluster.backends[0].received)
+            await anyio.sleep(0.2)
+            assert len(cluster.backends[0].received) == 1
+        await wait_until(lambda: ObservedBudget.latest.used == 0)
+        assert not [line for line, _ in cluster.log.lines if "failed" in line]
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -42,6 +42,7 @@
     # A wait for memory ends this long before the client's time.
     MEMORY_WAIT_MARGIN_SECONDS = 0.05
     MAX_HEAD_WAIT_SECONDS = 0.25  # for memory, where the client's time is not known
+    WRITE_POLL_SECONDS = 0.02  # between looks at whether an answer has been taken
     MEMORY_POLL_SECONDS = 0.1  # between looks at whether a request that waits for memory has come whole
     # While `closing`, this much is read and dropped so that no TCP reset overtakes the last response; after
     # that, reading stops.
@@ -347,6 +348,7 @@
                     self.unread_seconds, self.closing = 0.0, self.server_state.closes_connections
                     self._send(nack)
                     continue
+            await self._wait_until_written()
             if self.discarding:
                 # What is dropped takes no memory; a request behind it must not wait for many small reads.
                 data += streams.read_at_once(self.stream, MAX_BUFFERED_BYTES)
@@ -381,6 +383,16 @@
         may_be_large = self.request_room.size > 0
         streams.limit_reads(self.stream, MAX_READ_BYTES if may_be_large else SMALL_READ_BYTES)
 
+    async def _wait_until_written(self) -> None:
+        """Waits with the next request while its client, which asks on, has not taken the answer before.
+
+        Its answers would pile up here. `enforce_timeouts` ends a client that takes nothing at all.
+        """
+        while self.exchange is None and self.download is None and not self.closing and not self.discarding:
+            if not self.outbox and not streams.unsent_bytes(self.stream):
+                return
+            await anyio.sleep(self.WRITE_POLL_SECONDS)
+
     async def _reserve_upload(self) -> None:
         upload = self.upload
         assert upload is not None
@@ -724,6 +736,7 @@
     def _deliver(self, answer: ClientResponse) -> None:
         """Sends the final response to the current invocation."""
         exchange, self.exchange = self.exchange, None
+        self._release_answer()  # of the request before, if its client has not waited for the whole answer
         self.answer_room = answer.reservation
         if exchange is not None and (answer.body_pipe is not None or answer.reservation is not None):
             exchange.hold_id()
