--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -43,9 +43,11 @@
 import sys
 import time
 from thornladder.__main__ import main
+from thornladder.node.clients.connection import ClientConnection
 from thornladder.node.host import NodeHost
 from thornladder.node.shutdown import ShutdownSchedule
 
+ClientConnection.end_now = lambda connection: None
 NodeHost.begin_shutdown = NodeHost.end_unanswered = lambda *arguments: None
 ShutdownSchedule.answer_by = ShutdownSchedule.exit_by = property(
     lambda schedule: schedule.signalled_at + schedule.longest_deadline
@@ -145,7 +147,13 @@
 from thornladder.node.clients.connection import ClientConnection
 
 process_events = ClientConnection._process_events
-ClientConnection._process_events = lambda connection: not connection.download and process_events(connection)
+
+def process_events_or_cut(connection):
+    if connection.download and len(connection.http.trailing_data[0]) > 64 * 1024:
+        connection.scope.cancel()
+    return not connection.download and process_events(connection)
+
+ClientConnection._process_events = process_events_or_cut
 sys.exit(main())
 """
 
@@ -203,9 +211,13 @@
 from thornladder.node.memory_plan import MemoryPlan
 
 async def grow_to(reservation, size):
+    reservation.size = max(reservation.size, size)
+
+def release(reservation):
     reservation.size = 0
 
-Reservation.grow_to = grow_to
+Reservation.grow_to, Reservation.release = grow_to, release
+Reservation.must_wait_for = lambda reservation, size: False
 MemoryPlan.max_connections = lambda plan, wanted: wanted
 sys.exit(main())
 """
