The planted outliving request is planted before the node has ejected all backends

Cause, traced on 5 failing of 24 plays of its plan: with all backends hanging from the start, the node has ejected each as hung 0.35 s after its first request and refuses at once from then on. SIGTERM came 0.5 s after readiness, so in some plays nothing was in flight any more when the process ended (in_flight 0 in its log) and no request was lost: the plan no longer led there; the checker missed nothing. Change: SIGTERM comes 0.1 s after readiness, before the ejection. The assertion stays as it was.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -255,9 +255,12 @@
 
 
 def hanging_plan() -> SoakPlan:
-    """Two nodes that are told to end while every backend hangs."""
+    """Two nodes that are told to end while every backend hangs.
+
+    They are told before they have found out: once all backends are ejected they refuse every request at once.
+    """
     hanging = (ModeChange(0.0, BackendMode.HANG),)
-    shutdown = Shutdown(0.5, True, (Action(0.0, Step.TERMINATE),))
+    shutdown = Shutdown(0.1, True, (Action(0.0, Step.TERMINATE),))
     return replace(
         draw_plan(3),
         shutdowns=((shutdown,), (shutdown,)),
