Failing tests: resident memory and the kernel's for its sockets stay within the limit

They now hold resident memory and what the kernel has allocated to the node's sockets, those queued unaccepted included (sock_diag), which is never less: stricter in each row. At 32 MB, where a process at rest takes 29, anonymous memory and the kernel's. New kinds of crowds: one chunk and most of a larger one, half bodies of three sizes, and drawn requests of which some part is written and read.

--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -4,7 +4,7 @@
 
 import copy
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -15,7 +15,8 @@
 from test_process import connect, running_node
 
 from thornladder.node.streams import STREAM_CLOSED_ERRORS
-from thornladder.rig.crowd import CrowdKind, MemorySampler, crowd_command
+from thornladder.rig.crowd import CrowdKind, crowd_command
+from thornladder.rig.process_memory import MemorySampler
 from thornladder.rig.soak.node import NODE_COMMAND
 
 pytestmark = pytest.mark.anyio
@@ -25,6 +26,7 @@
 # After a request's time, in which a final answer still counts, and what each limit is longer on sockets.
 GRACE_SECONDS = 0.55
 ANSWERS = {"/look": 10, "/pay": 60_000, "/book": 2_000_000}  # bytes, by offering
+LEAST_MEMORY = 32  # MB
 KINDS = [kind for kind in CrowdKind if kind is not CrowdKind.TINY_CHUNKS]
 
 
@@ -43,17 +45,23 @@
 
 @asynccontextmanager
 async def loaded_node(
-    folder: Path, kind: CrowdKind, memory: int, sockets: int = 1024, size: int = CROWD_SIZE
+    folder: Path,
+    kind: CrowdKind,
+    memory: int,
+    sockets: int = 1024,
+    size: int = CROWD_SIZE,
+    command: Sequence[str] = NODE_COMMAND,
 ) -> AsyncIterator[tuple[MemorySampler, int]]:
     """A node with this crowd for as long as the context lasts."""
     info = copy.deepcopy(SETTINGS)
     for offering in info["Classes"]:
         offering |= {"HardLimit": 10_000_000}
     servers = [FakeServer(answer) for _ in range(4)]
-    async with running_node(
-        folder, *servers, info=info, sockets=sockets, memory=memory, command=NODE_COMMAND
-    ) as (process, port):
-        sampler = MemorySampler(process.pid)
+    async with running_node(folder, *servers, info=info, sockets=sockets, memory=memory, command=command) as (
+        process,
+        port,
+    ):
+        sampler = MemorySampler(process.pid, port)
         crowd = await anyio.open_process(crowd_command(("127.0.0.1", port), kind, size, 1))
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(sampler.run)
@@ -84,9 +92,15 @@
     outcome.seconds.append(anyio.current_time() - started_at if status != "none" else math.inf)
 
 
-async def run_beside(folder: Path, kind: CrowdKind, memory: int) -> Outcome:
+async def run_beside(
+    folder: Path,
+    kind: CrowdKind,
+    memory: int,
+    size: int = CROWD_SIZE,
+    command: Sequence[str] = NODE_COMMAND,
+) -> Outcome:
     outcome = Outcome()
-    async with loaded_node(folder, kind, memory) as (sampler, port):
+    async with loaded_node(folder, kind, memory, size=size, command=command) as (sampler, port):
         await anyio.sleep(CROWD_START_SECONDS)
         until, number = anyio.current_time() + CROWD_SECONDS, 0
         async with anyio.create_task_group() as tasks:
@@ -98,14 +112,39 @@
     return outcome
 
 
-# Report 98e2ab: processes were killed over their memory limit, some 0.1 s after each start.
+def assert_answered_in_time(outcome: Outcome) -> None:
+    assert max(outcome.seconds) <= DEADLINE_SECONDS + GRACE_SECONDS
+    assert set(outcome.statuses) <= {"200", "503"}
+
+
+# Report 98e2ab: processes were killed over their memory limit, some 0.1 s after each start. A process at rest
+# takes nearly all of 32 MB: files of programs do not count here.
+@pytest.mark.parametrize("kind", KINDS, ids=lambda kind: kind.name.lower())
+async def test_a_process_stays_within_the_least_memory(kind: CrowdKind, tmp_path: Path) -> None:
+    outcome = await run_beside(tmp_path, kind, LEAST_MEMORY)
+    assert outcome.memory is not None and outcome.memory.anonymous_and_kernel <= LEAST_MEMORY
+    assert_answered_in_time(outcome)
+
+
+# Report 73ddd4: the same at 64 MB, where anonymous memory was within the limit and resident memory was not.
 @pytest.mark.parametrize(
-    ("kind", "memory"),
-    [(kind, 32) for kind in KINDS] + [(CrowdKind.FIELDS_THEN_HALF_BODY, 96), (CrowdKind.MIXED, 80)],
+    ("kind", "memory", "size"),
+    [
+        (CrowdKind.CHUNK_THEN_PART_OF_ONE, 48, 1000),
+        (CrowdKind.CHUNK_THEN_PART_OF_ONE, 64, 700),
+        (CrowdKind.HALF_BODIES, 64, 700),
+        (CrowdKind.SLOW_READER, 64, 700),
+        (CrowdKind.ANYTHING, 64, 700),
+        (CrowdKind.MIXED, 64, 800),
+        (CrowdKind.MIXED, 80, 600),
+        (CrowdKind.FIELDS_THEN_HALF_BODY, 96, 600),
+        (CrowdKind.HALF_LARGE_BODY, 192, 1000),
+    ],
     ids=lambda value: value.name.lower() if isinstance(value, CrowdKind) else str(value),
 )
-async def test_a_process_stays_within_its_memory(kind: CrowdKind, memory: int, tmp_path: Path) -> None:
-    outcome = await run_beside(tmp_path, kind, memory)
-    assert outcome.memory is not None and outcome.memory.anonymous <= memory
-    assert max(outcome.seconds) <= DEADLINE_SECONDS + GRACE_SECONDS
-    assert set(outcome.statuses) <= {"200", "503"}
+async def test_a_process_and_its_sockets_stay_within_their_memory(
+    kind: CrowdKind, memory: int, size: int, tmp_path: Path
+) -> None:
+    outcome = await run_beside(tmp_path, kind, memory, size)
+    assert outcome.memory is not None and outcome.memory.resident_and_kernel <= memory
+    assert_answered_in_time(outcome)
--- a/thornladder/rig/crowd.py
+++ b/thornladder/rig/crowd.py
@@ -11,7 +11,6 @@
 import sys
 from contextlib import suppress
 from enum import Enum
-from pathlib import Path
 from random import Random
 
 import anyio
@@ -24,7 +23,7 @@
 LARGE_BODY_BYTES = 400_000  # more than a node buffers
 SMALL_BODY_BYTES = 64_000  # as much as a node buffers
 RECONNECT_SECONDS = 0.05
-SAMPLE_SECONDS = 0.02
+MAX_DRAWN_BODY_BYTES, MAX_DRAWN_CHUNKS = 3_000_000, 200
 
 
 class CrowdKind(Enum):
@@ -40,10 +39,15 @@
     UNREAD_ANSWER = "an answer that is never read"
     TINY_CHUNKS = "a body in chunks of one byte"
     NOTHING = "nothing but a byte"
+    CHUNK_THEN_PART_OF_ONE = "a body in chunks: one whole, then most of a larger one"
+    HALF_BODIES = "half of a body of some size"
+    ANYTHING = "some request, of which some part is written and some part of its answer read"
     MIXED = "each of these"
 
 
 SINGLE_KINDS = tuple(kind for kind in CrowdKind if kind is not CrowdKind.MIXED)
+HALF_BODY_BYTES = (70_000, 400_000, 3_000_000)
+FIRST_CHUNK_BYTES, SECOND_CHUNK_BYTES = 32 * 1024, 64 * 1024
 
 
 class Crowd:
@@ -79,9 +83,11 @@
 
     async def _receive(self, stream: SocketStream, kind: CrowdKind) -> None:
         """Reads until the node ends the connection or refuses the request."""
-        if kind is CrowdKind.UNREAD_ANSWER:
+        if kind is CrowdKind.UNREAD_ANSWER or (kind is CrowdKind.ANYTHING and self.rng.random() < 0.2):
             await anyio.sleep(math.inf)
         pause = 1.0 if kind is CrowdKind.SLOW_READER else 0.0
+        if kind is CrowdKind.ANYTHING:
+            pause = self.rng.choice((0.0, self.rng.uniform(0.0, 1.0)))
         is_first = True
         while True:
             data = await stream.receive(4096)
@@ -119,9 +125,40 @@
             await stream.send(self._head(self.UPLOAD, "Transfer-Encoding: chunked"))
             while True:
                 await stream.send(b"1\r\nx\r\n" * 5000)
+        elif kind is CrowdKind.CHUNK_THEN_PART_OF_ONE:
+            chunk = b"%x\r\n%s\r\n" % (FIRST_CHUNK_BYTES, bytes(FIRST_CHUNK_BYTES))
+            part = b"%x\r\n%s" % (SECOND_CHUNK_BYTES, bytes(SECOND_CHUNK_BYTES - 1000))
+            await stream.send(self._head(self.UPLOAD, "Transfer-Encoding: chunked") + chunk + part)
+        elif kind is CrowdKind.HALF_BODIES:
+            size = self.rng.choice(HALF_BODY_BYTES)
+            await stream.send(self._head(self.UPLOAD, f"Content-Length: {size}") + bytes(size // 2))
+        elif kind is CrowdKind.ANYTHING:
+            await self._send_anything(stream)
         else:
             await stream.send(b"G")
 
+    async def _send_anything(self, stream: SocketStream) -> None:
+        """Sends some part of a request with a drawn head, framing, size and pace."""
+        rng = self.rng
+        fields = b"".join(b"f%d: %s\r\n" % (n, b"v" * rng.randint(0, 60)) for n in range(rng.randint(0, 140)))
+        if rng.random() < 0.3:
+            offering = rng.choice((self.LARGE_ANSWER, self.SMALL_ANSWER))
+            data = self._head(offering, "Content-Length: 0", fields)
+        else:
+            size = round(math.exp(rng.uniform(0.0, math.log(MAX_DRAWN_BODY_BYTES))))
+            is_chunked = rng.random() < 0.5
+            framing = "Transfer-Encoding: chunked" if is_chunked else f"Content-Length: {size}"
+            data = self._head(self.UPLOAD, framing, fields)
+            chunk_size = rng.randint(1, size) if is_chunked else size
+            for start in range(0, size, max(chunk_size, size // MAX_DRAWN_CHUNKS)):
+                part = bytes(min(max(chunk_size, size // MAX_DRAWN_CHUNKS), size - start))
+                data += b"%x\r\n%s\r\n" % (len(part), part) if is_chunked else part
+        data = data[: round(rng.uniform(0.2, 1.0) * len(data))]
+        if rng.random() < 0.5:
+            await stream.send(data)
+        else:
+            await self._send_in_pieces(stream, data, len(data) // rng.randint(1, 20) + 1, 0.1)
+
     async def _send_in_pieces(self, stream: SocketStream, data: bytes, size: int, pause: float) -> None:
         for start in range(0, len(data), size):
             await stream.send(data[start : start + size])
@@ -135,28 +172,6 @@
         return "".join(f"{line}\r\n" for line in lines).encode() + fields + b"\r\n"
 
 
-class MemorySampler:
-    """The most memory that a process has had, by the kernel's count, in MB of 2**20 bytes."""
-
-    def __init__(self, pid: int) -> None:
-        self.path = Path(f"/proc/{pid}/status")
-        self.anonymous = self.resident = 0.0
-
-    async def run(self) -> None:
-        """Samples until it is cancelled."""
-        while True:
-            self.sample()
-            await anyio.sleep(SAMPLE_SECONDS)
-
-    def sample(self) -> None:
-        """Takes the present figures in; a process that has ended has none."""
-        with suppress(OSError):
-            fields = dict(line.split(":", 1) for line in self.path.read_text().splitlines() if ":" in line)
-            if "RssAnon" in fields:
-                self.anonymous = max(self.anonymous, int(fields["RssAnon"].split()[0]) / 1024.0)
-                self.resident = max(self.resident, int(fields["VmHWM"].split()[0]) / 1024.0)
-
-
 def crowd_command(address: Address, kind: CrowdKind, size: int, seed: int) -> list[str]:
     """The command that runs a crowd in a process of its own."""
     return [
--- a/thornladder/rig/soak/node.py
+++ b/thornladder/rig/soak/node.py
@@ -18,7 +18,7 @@
 import anyio
 
 from thornladder.children import signal_on_parent_exit
-from thornladder.rig.crowd import MemorySampler
+from thornladder.rig.process_memory import MemorySampler
 from thornladder.rig.soak.client import Offering
 from thornladder.rig.soak.clock import SoakClock, processor_wait_seconds
 from thornladder.rig.soak.plan import (
--- a/thornladder/rig/soak/pressure_plan.py
+++ b/thornladder/rig/soak/pressure_plan.py
@@ -24,6 +24,11 @@
 SOUND_SECONDS = (2.0, 8.0)  # between faults of a backend
 MEMORY_MB, DESCRIPTORS = (32, 48, 64, 96), (256, 512, 1024)
 CROWD_SIZES = (60, 400)  # clients of a crowd, fewest and most
+CROWD_KINDS = tuple(
+    kind
+    for kind in CrowdKind
+    if kind not in (CrowdKind.CHUNK_THEN_PART_OF_ONE, CrowdKind.HALF_BODIES, CrowdKind.ANYTHING)
+)
 MIN_DEADLINE_SECONDS = 0.5  # a crowd of hundreds is read and refused in less
 
 
@@ -47,7 +52,7 @@
         answers=Answers((0.002, 0.02), large_share=0.1, unframed_share=0.3, slow_share=0.1),
         large_upload_share=0.1,
         memory_mb=rng.choice(MEMORY_MB),
-        crowding=Crowding(rng.choice(tuple(CrowdKind)), rng.randint(*CROWD_SIZES)),
+        crowding=Crowding(rng.choice(CROWD_KINDS), rng.randint(*CROWD_SIZES)),
         leave_share=0.1,
         return_share=0.5,
     )
