An answer whose time runs out as it becomes large is not begun

Cause: the bytes that make an answer a large one and the end of its push's time are found in the same turn of a late event loop. The cancellation waits for the task, the task begins the answer, which lifts the time, and the next wait takes the cancellation: the answer that was begun is cut. Change: a cancellation that is due is taken before the answer is begun. Then the request fails in its time (502). Class: every step that lifts a limit of time and may run after the limit was met; the others (a small answer that begins by time, a wait for memory) take the cancellation at their own wait.

--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
 
 import anyio
@@ -9,6 +10,7 @@
 import pytest
 from harness import FakeServer, LoopbackCluster, ReceivedMessage, reply
 
+from thornladder.node import http1, streams
 from thornladder.node.messages import LIVE_PATH
 
 pytestmark = pytest.mark.anyio
@@ -117,3 +119,28 @@
         sent_at = anyio.current_time()
         assert (await cluster.ask("a", "pay", 700, b"x")).target == "502"
         assert anyio.current_time() - sent_at < 0.7 + 0.5
+
+
+# Report 73ddd4, beside crowds: an answer that became large as its time ran out was begun, and then cut.
+async def test_an_answer_is_not_begun_whose_time_ran_out_while_it_was_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    deadline, hold = 0.5, 0.2
+    forward = streams.SingleReadProtocol.data_received
+
+    def hold_event_loop(self: streams.SingleReadProtocol, data: bytes) -> None:
+        forward(self, data)
+        if b"late" in data:
+            time.sleep(hold)  # the next turn finds both the bytes and the end of the time
+
+    async def answer_late(stream: anyio.abc.SocketStream) -> None:
+        await stream.send(b"HTTP/1.1 200 OK\r\n\r\n" + bytes(1_000))
+        await anyio.sleep(deadline - 0.5 * hold)
+        await stream.send(b"late" + bytes(200_000))
+
+    monkeypatch.setattr(streams.SingleReadProtocol, "data_received", hold_event_loop)
+    monkeypatch.setattr(http1, "MAX_BUFFERED_BYTES", 3_000)  # the next read makes it a large one
+    cluster = LoopbackCluster(lambda message: None if message.target == "/pay" else reply(200))
+    cluster.backends[0]._stay_silent = answer_late
+    async with cluster:
+        assert (await cluster.ask("a", "pay", round(1000 * deadline), b"x")).target == "502"
--- a/thornladder/node/http1.py
+++ b/thornladder/node/http1.py
@@ -10,6 +10,7 @@
 import anyio
 import h11
 from anyio.abc import SocketStream
+from anyio.lowlevel import checkpoint_if_cancelled
 
 from thornladder.node import connecting, messages, streams
 from thornladder.node.flow import BodyPipe
@@ -193,6 +194,8 @@
     async def start_streaming(self, connection: UpstreamConnection) -> None:
         """Hands the response to its client, with what has arrived of the body; the rest follows."""
         await self._reserve(charges.BODY_PIPE_BYTES)
+        # In a late turn of the event loop the request's own time may have run out just now.
+        await checkpoint_if_cancelled()
         self.allow_large_message(connection.stream)
         assert self.head is not None and self.on_streaming is not None
         self.body_pipe = BodyPipe()
