The queue of the listening socket is as long as memory allows

Cause: the queue of unaccepted connections was cut to 256 at every limit, so that it overflows beside a crowd that comes back at once; the kernel drops what does not fit, and its next try is a second later. Change: as many as an eighth of the room holds at 16 KiB each, 128 to 1,024: 1,024 at 192 MB, 456 at 96, 238 at 64.

--- a/thornladder/node/memory/plan.py
+++ b/thornladder/node/memory/plan.py
@@ -12,6 +12,7 @@
 # Of the limit that is divided in any case, where a process at rest needs nearly all of it.
 MIN_ROOM_SHARE = 0.25
 MIN_CONNECTIONS = 64
+QUEUE_SHARE, MIN_QUEUED_CONNECTIONS = 1.0 / 8.0, 128
 MIN_MESSAGE_BYTES = 2**20
 
 
@@ -35,6 +36,11 @@
         affordable = round(CONNECTIONS_SHARE * self.room() / charges.CONNECTION_BYTES)
         return min(wanted, max(affordable, MIN_CONNECTIONS))
 
+    def queued_connections(self, wanted: int) -> int:
+        """How many of the `wanted` connections may wait at the listening socket to be accepted."""
+        affordable = round(QUEUE_SHARE * self.room() / charges.QUEUED_BYTES)
+        return min(wanted, max(affordable, MIN_QUEUED_CONNECTIONS))
+
     def message_bytes(self, connections: int, processes: int = 1, backends: int = 0) -> int:
         """What is left for messages beside so many `connections` of the node."""
         room = self.room(processes, backends)
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -83,6 +83,8 @@
         + sum(extension.descriptors for extension in extensions)
     )
     memory_plan = MemoryPlan(config.memory, resident_bytes(), len(restored_list.entries))
+    if config.inherited is None:
+        listener.listen(memory_plan.queued_connections(Front.BACKLOG))
     max_connections = memory_plan.max_connections(max(config.sockets - reserved, 8))
     max_clients = round(CLIENT_SHARE * max_connections)
     async with anyio.create_task_group() as group:
