The queue of the listening socket holds 256 connections again at most

Cause: a request waits in the queue for as long as all before it take; at some 700 refusals a second a queue of 1,024 is 1.5 s long. A connection that is not accepted has sent nothing and is not answered late.

--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -33,8 +33,9 @@
     # Share of the connection limit from which idle connections are closed.
     NEAR_LIMIT_SHARE = 0.9
     MAX_ACCEPTS_PER_TURN = 32  # before those accepted earlier have their turn
-    # Connections that the kernel may queue before this node accepts them, while there is memory for them.
-    BACKLOG = 1024
+    # Connections that the kernel may queue before this node accepts them, while there is memory for them: as
+    # many as are answered in time beside a crowd that comes back at once.
+    BACKLOG = 256
     IDLE_TIMEOUT_SECONDS = 10.0  # lets clients with occasional requests reuse their connections
     # Beyond the limit a request is refused at once: it would wait unread in the kernel's queue for as long as
     # all connections are busy. So many that have sent nothing yet are waited for, on spare descriptors.
