A connection that has ended gives its place to nobody

Found on rereading: the list of stalled requests is searched anew only when it is empty, and an entry that had ended meanwhile counted as one that gave its place: a connection too many was accepted (twelve at most), and the end of its client was reported twice. An entry has to be among the present connections. The test failed before.

--- a/tests/test_memory_monitor.py
+++ b/tests/test_memory_monitor.py
@@ -11,6 +11,8 @@
 from test_process import connect, running_node
 
 from thornladder.node.clients.front import Front
+from thornladder.node.clients.memory_relief import MemoryRelief
+from thornladder.node.clients.server_state import ServerState
 from thornladder.node.memory import usage
 from thornladder.node.memory.budget import MemoryBudget
 from thornladder.node.memory.monitor import MemoryLevel, MemoryLimits, MemoryMonitor
@@ -24,6 +26,18 @@
 HALF_REQUEST = b"POST /pay HTTP/1.1\r\nHost: a\r\nX-Call-Id: half%d\r\nContent-Length: 5000\r\n\r\nx"
 
 
+class StalledConnection:
+    """Stands in for a client's connection whose request stands still."""
+
+    is_incomplete, was_given_up = True, False
+
+    def stalled_seconds(self, now: float) -> float:
+        return 1.0
+
+    def give_up(self) -> None:
+        self.was_given_up = True
+
+
 def monitor(log: RecordingLog, sockets: int = 100) -> MemoryMonitor:
     made = MemoryMonitor(LIMITS, MemoryBudget(2**30), tuple, anyio.current_time, log)
     made.socket_count = lambda: sockets
@@ -120,6 +134,20 @@
             await client.stream.aclose()
 
 
+# A connection that had ended since the search counted as one that gave its place.
+async def test_a_connection_that_has_ended_gives_no_place() -> None:
+    state = ServerState(
+        None, {}, lambda: 100.0, MemoryBudget(2**20), lambda: False, lambda *_: None, RecordingLog()
+    )
+    ended = StalledConnection()
+    connections = {ended}
+    relief = MemoryRelief(connections, state, lambda connection, action: action())
+    relief._list_stalled(100.0)
+    connections.clear()
+    assert not relief.give_place()
+    assert not ended.was_given_up
+
+
 async def test_the_sampler_reads_the_memory_of_a_process(tmp_path: Path) -> None:
     async with running_node(tmp_path, FakeServer(lambda _: reply(200))) as (process, port):
         client: Client = await connect(port)
--- a/thornladder/node/clients/memory_relief.py
+++ b/thornladder/node/clients/memory_relief.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 from typing import TYPE_CHECKING, Any
 
 from thornladder.node.clients.closures import CloseReason
@@ -33,7 +33,7 @@
     IDLE_SECONDS = 2.0  # at rest, after which a connection is closed while memory is low
 
     def __init__(
-        self, connections: Iterable[ClientConnection], server_state: ServerState, run_isolated: RunIsolated
+        self, connections: Collection[ClientConnection], server_state: ServerState, run_isolated: RunIsolated
     ) -> None:
         """`connections`: the present ones at each call."""
         self.connections, self.server_state, self.run_isolated = connections, server_state, run_isolated
@@ -87,7 +87,12 @@
         self._stalled = sorted(stalled, key=lambda connection: connection.stalled_seconds(now))
 
     def _may_be_replaced(self, connection: ClientConnection, now: float) -> bool:
-        return connection.is_incomplete and connection.stalled_seconds(now) > self.REPLACED_STALL_SECONDS
+        is_open = connection in self.connections  # it may have ended since it was listed
+        return (
+            is_open
+            and connection.is_incomplete
+            and connection.stalled_seconds(now) > self.REPLACED_STALL_SECONDS
+        )
 
     def _stands_still(self, connection: ClientConnection, now: float, request_stall: float) -> bool:
         stall = request_stall if connection.is_incomplete else self.ANSWER_STALL_SECONDS
