Few connections are 32, to clients and backends

What callers saw: tests/test_upload_limits.py [slow clients leave room for others], both framings, failed in one of the shards of the last run (and once in three runs before, name not kept then): slow clients were ended though they were thirteen. Cause: with their backends' they are 25 or 26 connections, above the 24 that are served whatever the allocator keeps; at a limit far below rest (4 MB in a process of 120) the level is exhausted then. Sixteen requests in flight have 32 connections.

--- a/thornladder/node/memory/monitor.py
+++ b/thornladder/node/memory/monitor.py
@@ -81,7 +81,7 @@
     TRIM_SECONDS = 0.1  # between returns of free memory to the kernel
     COLLECT_SECONDS = 1.0  # between collections of ended connections, which are in cycles with their tasks
     LOG_SECONDS = 1.0
-    FEW_SOCKETS, BUSY_SOCKETS = 24, 64
+    FEW_SOCKETS, BUSY_SOCKETS = 32, 64
     # Of the reserve, what may be granted until the next sample: a charge may be far too low.
     GRANTED_SHARE = 1.0 / 8.0
     MIN_GRANT_BYTES = 4 * charges.CHUNKED_BODY_BYTES
