--- a/review/bench2.py
+++ b/review/bench2.py
@@ -60,6 +60,24 @@
             print("  ", text)
 
 
+INHERITED_FD = 5
+
+
+def open_inherited() -> int:
+    """Opens the clients' listening socket that the platform holds, as descriptor 5; returns its port.
+
+    To be called before anything else opens descriptors.
+    """
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(256)
+    port = listener.getsockname()[1]
+    os.dup2(listener.fileno(), INHERITED_FD)
+    listener.close()
+    return port
+
+
 def free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -143,23 +161,19 @@
         part.write_text(json.dumps(document))
         part.replace(self.folder / "config.json")
 
-    def start(self, inherited: socket.socket | None = None) -> None:
+    def start(self, inherited: bool = False) -> None:
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
         environment = {
             **os.environ, "EDGE_NAME": self.name, "EDGE_LISTEN": f"127.0.0.1:{self.port}",
             "EDGE_DISCOVERY": self.document["discovery"], "EDGE_ADMIN_ADDR": f"127.0.0.1:{self.admin}",
             "EDGE_CONFIG": str(self.folder / "config.json"), "TMPDIR": str(self.tmp),
         }  # fmt: skip
-        run, passed = deploy["run"], ()
-        if inherited is not None:
-            # The platform hands the clients' listening socket over as descriptor 5.
-            passed = (inherited.fileno(),)
-            environment["EDGE_INHERITED_FD"] = "5"
-            if inherited.fileno() != 5:
-                run = f"exec 5<&{inherited.fileno()}; {run}"
+        passed: tuple[int, ...] = ()
+        if inherited:
+            passed, environment["EDGE_INHERITED_FD"] = (INHERITED_FD,), str(INHERITED_FD)
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
+                ["/bin/sh", "-c", deploy["run"]], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                 stdout=log, stderr=log, pass_fds=passed, start_new_session=True,
             )  # fmt: skip
         self.case.record.write("start", self.name, "process", self.process.pid)
