--- a/review/bench2.py
+++ b/review/bench2.py
@@ -382,8 +382,11 @@
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
 
-    def set(self, server: BackendServer, lifecycle: str = "in_service", started_at: float = 0.0) -> None:
-        zone = "nimman" if not server.wire else "san-kamphaeng"
+    def set(
+        self, server: BackendServer, lifecycle: str = "in_service", started_at: float = 0.0, zone: str = ""
+    ) -> None:  # fmt: skip
+        """Lists a backend, or a change of one. Those at a distance stand in the other building."""
+        zone = zone or ("nimman" if not server.wire else "san-kamphaeng")
         self.generation += 1
         self.entries[server.id] = {
             "instanceId": server.id, "hostPort": f"127.0.0.1:{server.port}", "zone": zone,
