A reload is held against a declared schema, in objects that are new as well

Cause: settings.first_missing_key compared a new class with nothing (by_name.get(name) is None), so the defaults of the decoding held, and _parse_offering took "all" for a missing Group. Nothing declared what a configuration has to hold.

Evidence: with the key there the course held; a class that was there before and lacked the key was turned down.

Why it works: an object that is new is held against the declaration, not against a neighbour; there is no default of Group left for a guarded class.

Changed tests: test_only_boolean_keys_and_list_items_may_be_left_out held that any key that is true or false may be left out. Two tests of error texts name the whole path now (settings.Tenants, settings.Blend.Whole).

--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -241,12 +241,12 @@
      (settings_with("Blend", "BorneMisses", 0.0), "Blend.BorneMisses"),
      (settings_with("Blend", "Availability", 0.3), "Blend.NinesWanted"),
      (settings_with("Blend", "Whole", -1.0), "Blend.Whole"),
-     (settings_with("Blend", "Whole", "much"), "Whole"),
-     (settings_with("Report", "Source", "smoke"), "Source"),
+     (settings_with("Blend", "Whole", "much"), "Blend.Whole"),
+     (settings_with("Report", "Source", "smoke"), "Report.Source"),
      (settings_with("Prices", "Probe", -0.1), "Prices.Probe")],
 )  # fmt: skip
 def test_settings_that_mix_deployment_types_or_are_invalid_are_rejected(info: dict, key: str) -> None:
-    with pytest.raises(MalformedError, match=rf"^{key}\b"):
+    with pytest.raises(MalformedError, match=rf"^settings\.{key}\b"):
         settings.decode({**config([], 1), "settings": info})
 
 
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -177,7 +177,7 @@
     path = tmp_path / "config.json"
     sidecar = {"Report": {"Source": "pull", "Fields": ["rif"]}, "Tenants": [{"Name": "t", "Share": 1.0}]}
     path.write_text(json.dumps(config([], 1, info={**SETTINGS, **sidecar})))
-    error = "Tenants must be empty where Report.Source is 'pull'"
+    error = "settings.Tenants must be empty where Report.Source is 'pull'"
     assert run_rejected(path) == f"thornladder: {path}: {error}\n"
 
 
--- a/tests/test_retuning.py
+++ b/tests/test_retuning.py
@@ -151,14 +151,21 @@
     assert "pay" not in bench.node.offerings
 
 
-def test_only_boolean_keys_and_list_items_may_be_left_out() -> None:
+def test_only_list_items_and_booleans_that_no_page_names_may_be_left_out() -> None:
     current = config([], 1)
+    current["settings"]["Later"] = {"Flag": True, "Figure": 1}
     new = copy.deepcopy(current)
-    del new["settings"]["PolicyLimits"]["SecondCopies"]
-    assert settings.first_missing_key(current, new) is None
-    del new["settings"]["Classes"][2]  # a class may be removed
-    assert settings.first_missing_key(current, new) is None
-    del new["settings"]["Classes"][1]["Worth"]
-    assert settings.first_missing_key(current, new) == "settings.Classes.pay.Worth"
-    with pytest.raises(MalformedError):
-        settings.decode(new)
+    del new["settings"]["Classes"][2], new["settings"]["Later"]["Flag"]
+    settings.check_reload(current, new)
+    for path in (
+        ("settings", "PolicyLimits", "SecondCopies"),
+        ("settings", "Classes", 1, "Worth"),
+        ("settings", "Later", "Figure"),
+        ("settings", "Later"),
+        ("limits",),
+    ):
+        lacking = copy.deepcopy(new)
+        set_value(path, None)(lacking)
+        name = ".".join("pay" if key == 1 else key for key in path)
+        with pytest.raises(MalformedError, match=f"^{name} is missing$"):
+            settings.check_reload(current, lacking)
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -389,8 +389,7 @@
     def __call__(self) -> None:
         try:
             config = settings.load(self.path)
-            if name := settings.first_missing_key(self.config.raw, config.raw):
-                raise MalformedError(f"{name} is missing")
+            settings.check_reload(self.config.raw, config.raw)
         except MalformedError as error:
             self.log.warning("the new configuration is bad, the old one stays", error=str(error))
             return
