A backend whose zone or cell the list does not tell shares its repeats with no other

A guarded request that might have run at a backend whose entry lacked its zone (Group zone) or cell (Group cell) was sent again to any other such backend, or to one of the real cell 0, and could run twice.

Cause: decode_list and parse_entries took "" and 0 for what was missing, and Backend.dedup_domain compared them as if told.

Why it works: an unknown group equals only that of the same backend; nothing else reads the two fields as a group.

--- a/thornladder/adapter/wire.py
+++ b/thornladder/adapter/wire.py
@@ -50,7 +50,7 @@
                 backend=get_field(item, "Backend", str),
                 state=get_choice(STATES, item, "Readiness"),
                 zone=get_field(item, "Az", str, ""),
-                cell=get_field(item, "Pack", int, 0),
+                cell=get_optional(item, "Pack", int),
                 weight=get_optional(item, "Weight", float),
                 started_at=started / MICROS_PER_SECOND if started else None,
                 machine=get_field(item, "Sku", str, ""),
--- a/thornladder/decide.py
+++ b/thornladder/decide.py
@@ -69,8 +69,14 @@
         self.zone, self.cell, self.weight = entry.zone, entry.cell, entry.weight
 
     def dedup_domain(self, scope: str) -> object:
-        """Backends with the same value discard repeats of each other's invocations (None: all of them)."""
-        return self.zone if scope == "zone" else self.cell if scope == "cell" else None
+        """Backends with the same value discard repeats of each other's invocations (None: all of them).
+
+        A backend whose zone or cell the list does not tell shares it with no other.
+        """
+        if scope == "all":
+            return None
+        domain = self.zone or None if scope == "zone" else self.cell
+        return self if domain is None else domain
 
 
 BackendPredicate = Callable[[Backend], bool]
--- a/thornladder/interface.py
+++ b/thornladder/interface.py
@@ -138,8 +138,8 @@
 
     backend: str
     state: State
-    zone: str
-    cell: int
+    zone: str  # empty if the list does not tell it
+    cell: int | None  # None if the list does not tell it
     weight: float | None
     started_at: float | None
     machine: str
--- a/thornladder/node/messages.py
+++ b/thornladder/node/messages.py
@@ -363,7 +363,7 @@
             backend=instance_id,
             state=get_choice(_STATES, instance, "lifecycle"),
             zone=get_field(instance, "zone", str, ""),
-            cell=get_field(instance, "cell", int, 0),
+            cell=get_optional(instance, "cell", int),
             weight=get_optional(instance, "weight", float),
             started_at=started_at_ms / 1000.0 if started_at_ms else None,
             machine=get_field(instance, "machineType", str, ""),
