A new process adopts the state files of a living one, whatever the settings

Cause: Deployment.accepts guessed whose a state file is from zone and classes as recorded at its last write. Both may change while a node lives, and update_settings wrote nothing. The same guess made merge() read own marks as empty and write over them, let slow start be forgotten, and let a foreign folder be written over, or taken with one class and the zone in common.

Evidence: the file had the mark, under the classes of before both reloads; the new process logged that it ignored the files; without the reloads the course held.

Change: state files have an owner, part of the name; a process announces it beside its lock, and a new one adopts that of a process alive. Only if nobody is alive does the record decide: all deployments the owner has served, with the node's address, written before new settings are used and tried again where that fails. What is out is written again if the file lost it. Foreign files are left as they are. state_files.py is split from handover.py.

Why it works: the lock tells who lives without any setting, so no change of settings can make own files foreign while a process is there to hand them on.

Not taken: rewriting the file at a reload alone (an upgrade with other settings still loses marks).

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -65,14 +65,19 @@
         self.tasks.cancel_scope.cancel()
         await self.stack.__aexit__(*error)
 
-    async def run(self) -> tuple[anyio.abc.Process, int]:
-        """Starts one more process of the node and returns it with its admin port."""
-        with socket.create_server(("127.0.0.1", 0)) as free_socket:
-            admin = free_socket.getsockname()[1]
+    def write_config(self, info: dict | None = None) -> Path:
+        """Writes the configuration file of all processes, with these settings, and returns its path."""
         lines = [list_line(number, peer.port) for number, peer in enumerate(self.backends)]
-        file = config(lines, self.discovery.port)
+        file = config(lines, self.discovery.port, info=info)
         path = self.folder / "config.json"
         path.write_text(json.dumps({**file, "listen": f"127.0.0.1:{self.port}"}))
+        return path
+
+    async def run(self, info: dict | None = None) -> tuple[anyio.abc.Process, int]:
+        """Starts one more process of the node and returns it with its admin port."""
+        with socket.create_server(("127.0.0.1", 0)) as free_socket:
+            admin = free_socket.getsockname()[1]
+        path = self.write_config(info)
         process = await anyio.open_process(
             self.command,
             env={
--- a/thornladder/membership/companion.py
+++ b/thornladder/membership/companion.py
@@ -24,7 +24,7 @@
 from thornladder.node.clients.early import ShedPolicy
 from thornladder.node.clients.server_state import InvocationHandler
 from thornladder.node.companion import ExtensionEndpoint, NodeContext
-from thornladder.node.handover import StateFile
+from thornladder.node.state_files import StateFile
 
 LOCK_POLL_SECONDS = 0.1  # between attempts to take the member lock from the node's other process
 FLEET_SIZE_POLL_SECONDS = 0.5
--- a/thornladder/node/handover.py
+++ b/thornladder/node/handover.py
@@ -1,119 +1,26 @@
-"""State of a node that outlives its process: files in the node's private folder, and a registry of processes.
-
-Files are named after the node and record the deployment whose settings they were written under.
-"""
+"""State of a node that outlives its process, and a registry of the node's processes."""
 
 from __future__ import annotations
 
 import fcntl
-import json
 import os
-import re
-import zlib
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 from enum import Enum
-from pathlib import Path
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
-from thornladder.fields import MalformedError, get_field, get_objects, parse_object
+from thornladder.fields import MalformedError, get_field, get_objects
 from thornladder.node.maintenance import MaintenanceMark
-
-FORMAT_VERSION = 1  # files of another version are ignored
-MAX_FILE_BYTES = 1024 * 1024  # no file written here is larger
-
-
-def _file_stem(node: str) -> str:
-    """A file name without suffix that is unique to the node, whose name may hold any characters."""
-    plain = re.sub(r"[^A-Za-z0-9_-]", "_", node)[:64]
-    return f"thornladder-{plain}-{zlib.crc32(node.encode()):08x}"
-
-
-def state_files(folder: str, node: str) -> Iterator[Path]:
-    """The files of a node in its private folder. Raises OSError if the folder cannot be read."""
-    return Path(folder).glob(f"{_file_stem(node)}.*")
-
-
-def state_path(folder: str, node: str, suffix: str) -> Path:
-    """The path of a file in a node's private folder."""
-    return Path(folder) / f"{_file_stem(node)}.{suffix}"
-
-
-class Deployment(NamedTuple):
-    """Identifies a deployment by its zone and offerings, which ordinary changes of the settings keep."""
-
-    zone: str = ""
-    offering_names: frozenset[str] = frozenset()
-
-    @classmethod
-    def of(cls, decisions: dict[str, Any]) -> Deployment:
-        """The deployment of decision settings (keyword arguments of `decide.Node`)."""
-        return cls(decisions["zone"], frozenset(offering.name for offering in decisions["offerings"]))
-
-    def accepts(self, written_under: Any) -> bool:
-        """Whether a file with this `under` value belongs to this deployment.
-
-        One common offering is enough, since an upgrade may add some and drop others. A file without the value
-        is accepted: an older version wrote it.
-        """
-        if written_under is None or not self.offering_names:
-            return True
-        classes = written_under.get("classes") if isinstance(written_under, dict) else None
-        if not isinstance(classes, list) or written_under.get("zone") != self.zone:
-            return False
-        return any(name in self.offering_names for name in classes if isinstance(name, str))
-
-
-ANY_DEPLOYMENT = Deployment()  # accepts every file; for files that do not depend on settings
-
-
-class StateFile:
-    """One small JSON file with a checksum.
-
-    A file that is missing, truncated or corrupt, or of another node, deployment or format version, reads as
-    None.
-    """
-
-    def __init__(self, folder: str, node: str, suffix: str, deployment: Deployment = ANY_DEPLOYMENT) -> None:
-        self.node, self.deployment = node, deployment
-        self.is_foreign = False  # whether the last read found a file of another deployment
-        self.path = state_path(folder, node, suffix)
-
-    def read(self) -> dict[str, Any] | None:
-        """The stored object, or None."""
-        try:
-            with self.path.open("rb") as file:
-                header, _, text = file.read(MAX_FILE_BYTES).partition(b"\n")
-            if header != b"%d %08x" % (FORMAT_VERSION, zlib.crc32(text)):
-                return None
-            content = parse_object(text)
-        except (OSError, MalformedError):
-            return None
-        if content.get("node") != self.node:
-            return None
-        self.is_foreign = not self.deployment.accepts(content.get("under"))
-        return None if self.is_foreign else content
-
-    def write(self, content: dict[str, Any]) -> None:
-        """Replaces the file atomically; raises OSError."""
-        under = {"zone": self.deployment.zone, "classes": sorted(self.deployment.offering_names)}
-        text = json.dumps({**content, "node": self.node, "under": under}).encode()
-        temporary = self.path.with_name(f"{self.path.name}.{os.getpid()}")
-        try:
-            temporary.write_bytes(b"%d %08x\n%s" % (FORMAT_VERSION, zlib.crc32(text), text))
-            temporary.replace(self.path)
-        except OSError:
-            with suppress(OSError):
-                temporary.unlink()
-            raise
-
-    def fingerprint(self) -> tuple[int, int] | None:
-        """A value that changes with each write; None if there is no file."""
-        try:
-            stat = self.path.stat()
-        except OSError:
-            return None
-        return stat.st_ino, stat.st_mtime_ns
+from thornladder.node.state_files import (
+    ANY_DEPLOYMENT,
+    FIRST_OWNER,
+    OWNER,
+    Deployment,
+    OwnerChoice,
+    StateFile,
+    choose_owner,
+    state_path,
+)
 
 
 class Phase(Enum):
@@ -129,17 +36,20 @@
 
     phase: Phase
     descriptors: int  # file descriptors in use
+    owner: str | None = FIRST_OWNER  # of the state files that it uses; None: not chosen yet
 
 
 class ProcessRegistry:
     """The live processes of a node: each holds a lock on a file, which the kernel releases when it exits."""
 
     MAX_PROCESSES = 8  # two are usual, three while one upgrade follows another
+    UNDECIDED_OWNER = "?"
 
     def __init__(self, folder: str, node: str) -> None:
-        self.paths = [
-            Path(folder) / f"{_file_stem(node)}.process-{slot}" for slot in range(self.MAX_PROCESSES)
-        ]
+        self.paths = [state_path(folder, node, f"process-{slot}") for slot in range(self.MAX_PROCESSES)]
+        self.owner: str | None = (
+            FIRST_OWNER  # of the state files that this process uses; None: not chosen yet
+        )
         self.own_slot: tuple[int, int] | None = None  # slot of this process and the descriptor of its file
 
     def announce(self, phase: Phase, descriptors: int) -> None:
@@ -150,7 +60,9 @@
         if self.own_slot is None:
             self.own_slot = next(filter(None, map(self._lock, range(self.MAX_PROCESSES))), None)
         if self.own_slot is not None:
-            os.pwrite(self.own_slot[1], b"%-16s%-8d" % (phase.value.encode(), descriptors), 0)
+            owner = self.UNDECIDED_OWNER if self.owner is None else self.owner
+            text = b"%-16s%-8d%-8s" % (phase.value.encode(), descriptors, owner.encode())
+            os.pwrite(self.own_slot[1], text, 0)
 
     def _lock(self, slot: int) -> tuple[int, int] | None:
         """Locks the file of a slot; None if another process holds it or the folder is not writable."""
@@ -160,6 +72,7 @@
             return None  # without any slot, this process counts as the only one
         try:
             fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            os.ftruncate(descriptor, 0)  # what a process that has ended announced
         except OSError:
             os.close(descriptor)
             return None
@@ -181,14 +94,22 @@
             fcntl.flock(descriptor, fcntl.LOCK_SH | fcntl.LOCK_NB)
             return None
         except OSError:
-            text = os.pread(descriptor, 24, 0)
-            phase_text, descriptors = text[:16].decode("ascii", "replace").strip(), text[16:].strip()
-            # A process that has locked its slot and announced nothing yet has just started.
-            phase = next((phase for phase in Phase if phase.value == phase_text), Phase.STARTING)
-            return ProcessStatus(phase, int(descriptors) if descriptors.isdigit() else 0)
+            return self._parse(os.pread(descriptor, 32, 0))
         finally:
             os.close(descriptor)
 
+    def _parse(self, text: bytes) -> ProcessStatus:
+        """What a process has announced; an older program says nothing of an owner."""
+        phase_text, descriptors = text[:16].decode("ascii", "replace").strip(), text[16:24].strip()
+        owner = text[24:].decode("ascii", "replace").strip()
+        if not text or owner == self.UNDECIDED_OWNER:
+            chosen_owner = None
+        else:
+            chosen_owner = owner if OWNER.fullmatch(owner) else FIRST_OWNER
+        # A process that has locked its slot and announced nothing yet has just started.
+        phase = next((phase for phase in Phase if phase.value == phase_text), Phase.STARTING)
+        return ProcessStatus(phase, int(descriptors) if descriptors.isdigit() else 0, chosen_owner)
+
 
 class LearnedState(NamedTuple):
     """What a process passes on to the one that takes over from it."""
@@ -203,12 +124,18 @@
     Start times are Unix times and stay valid for any process; the concurrency limit is valid only briefly.
     """
 
+    SUFFIX = "learned"
     MAX_AGE_SECONDS = 10.0  # of the concurrency limit: about as long as the load stays the same
 
     def __init__(self, folder: str, node: str, deployment: Deployment = ANY_DEPLOYMENT) -> None:
-        self.file = StateFile(folder, node, "learned", deployment)
+        self.file = StateFile(folder, node, self.SUFFIX, deployment)
         self.saved, self.saved_at = LearnedState({}), -self.MAX_AGE_SECONDS
 
+    def set_deployment(self, deployment: Deployment) -> None:
+        """Records another deployment in the file with the next `save`."""
+        self.file.deployment = deployment
+        self.saved_at = -self.MAX_AGE_SECONDS
+
     def load(self, now: float) -> LearnedState:
         """The stored state, without what is missing or out of date; `now`: Unix time in seconds."""
         starts: dict[str, float] = {}
@@ -234,14 +161,34 @@
     Several processes may write to the file; the later call wins.
     """
 
+    SUFFIX = "maintenance"
+
     def __init__(self, folder: str, node: str, deployment: Deployment = ANY_DEPLOYMENT) -> None:
-        self.file = StateFile(folder, node, "maintenance", deployment)
-        self.lock_path = self.file.path.with_name(f"{self.file.path.name}-lock")
+        self.file = StateFile(folder, node, self.SUFFIX, deployment)
         self.loaded_fingerprint: tuple[int, int] | None = None
+        # What the file is known to hold: its fingerprint, the deployment and the marks.
+        self.kept: tuple[tuple[int, int] | None, Deployment, dict[str, MaintenanceMark]] | None = None
+
+    def keep(self, owed: dict[str, MaintenanceMark]) -> None:
+        """Makes the file hold these marks, and record the current deployment, where it does not.
+
+        A process that finds no other alive knows its files by the deployment. Raises OSError:
+        BlockingIOError while another process writes.
+        """
+        if self.kept == (self.file.fingerprint(), self.file.deployment, owed):
+            return
+        stored = self._stored_marks()
+        lost = any(id not in stored or stored[id].set_at < mark.set_at for id, mark in owed.items())
+        if lost or not self.file.records_deployment():
+            self.merge(owed, wait=False)
+        self.kept = self.file.fingerprint(), self.file.deployment, owed
 
     def load(self) -> dict[str, MaintenanceMark]:
         """The stored marks by backend id."""
         self.loaded_fingerprint = self.file.fingerprint()
+        return self._stored_marks()
+
+    def _stored_marks(self) -> dict[str, MaintenanceMark]:
         content = self.file.read()
         marks: dict[str, MaintenanceMark] = {}
         with suppress(MalformedError):
@@ -255,9 +202,12 @@
         """The stored marks if the file has changed since this object last read it; empty otherwise."""
         return self.load() if self.file.fingerprint() != self.loaded_fingerprint else {}
 
-    def merge(self, marks: dict[str, MaintenanceMark]) -> None:
-        """Stores the marks that are later than the stored ones for their ids; raises OSError."""
-        with self._locked():
+    def merge(self, marks: dict[str, MaintenanceMark], wait: bool = True) -> None:
+        """Stores the marks that are later than the stored ones for their ids; raises OSError.
+
+        `wait`: while another process writes; otherwise that raises BlockingIOError.
+        """
+        with self._locked(wait):
             stored = self.load()
             for id, mark in marks.items():
                 if id not in stored or mark.set_at > stored[id].set_at:
@@ -272,13 +222,23 @@
             )
 
     @contextmanager
-    def _locked(self) -> Iterator[None]:
+    def _locked(self, wait: bool) -> Iterator[None]:
         """Holds the lock that serializes the writers; raises OSError."""
-        descriptor = os.open(self.lock_path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        lock_path = self.file.path.with_name(f"{self.file.path.name}-lock")
+        descriptor = os.open(lock_path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
-            fcntl.flock(
-                descriptor, fcntl.LOCK_EX
-            )  # waits for other writers, each of which writes one small file
+            # Other writers write one small file each.
+            fcntl.flock(descriptor, fcntl.LOCK_EX if wait else fcntl.LOCK_EX | fcntl.LOCK_NB)
             yield
         finally:
             os.close(descriptor)
+
+
+def choose_state_owner(
+    folder: str, node: str, deployment: Deployment, other_processes: list[ProcessStatus]
+) -> OwnerChoice:
+    """Chooses the owner whose state files a starting process uses, given the node's other processes."""
+    serving_first = sorted(other_processes, key=lambda other: other.phase is not Phase.SERVING)
+    live_owners = [other.owner for other in serving_first if other.owner is not None]
+    suffixes = (MaintenanceStore.SUFFIX, LearnedStateStore.SUFFIX)
+    return choose_owner(folder, node, suffixes, deployment, live_owners)
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -23,15 +23,13 @@
 from thornladder.node.companion import NodeContext, NodeExtension
 from thornladder.node.discovery.watch import Watch
 from thornladder.node.handover import (
-    Deployment,
     LearnedState,
     LearnedStateStore,
     MaintenanceStore,
     Phase,
     ProcessRegistry,
     ProcessStatus,
-    state_files,
-    state_path,
+    choose_state_owner,
 )
 from thornladder.node.host import Clock, NodeHost
 from thornladder.node.maintenance import Maintenance
@@ -42,6 +40,7 @@
 from thornladder.node.messages import DiscoveryResponse
 from thornladder.node.operations import Operations
 from thornladder.node.request_ids import SharedIds
+from thornladder.node.state_files import Deployment, state_files, state_path
 from thornladder.node.tasks import Tasks
 from thornladder.node.termination import Termination, handle_signals
 from thornladder.settings import Config
@@ -218,7 +217,8 @@
     def __init__(self, config: Config, log: Any) -> None:
         self.decisions, self.log = config.decisions, log
         self.folder, self.name = config.folder, config.name
-        deployment = Deployment.of(config.decisions)
+        self.listen = "{}:{}".format(*config.listen)
+        deployment = Deployment.of(config.decisions, self.listen)
         self.maintenance_store = MaintenanceStore(config.folder, config.name, deployment)
         self.learned_store, self.learned = (
             LearnedStateStore(config.folder, config.name, deployment),
@@ -229,7 +229,7 @@
         self.phase = Phase.STARTING
         self.other_processes: list[ProcessStatus] = []
         self.descriptors_used = 0
-        self.announcing_failed = False  # at the last try
+        self.announcing_failed = self.keeping_failed = False  # at the last try
         # Limits of the whole node: client connections, backend connections.
         self.node_limits: tuple[int, int] | None = None
         self.node_count: int | None = None  # reported by an extension; None: as in the settings
@@ -238,15 +238,41 @@
 
     def join(self, now: float) -> Maintenance:
         """Registers this process and returns the stored maintenance state; `now`: Unix time in seconds."""
+        self.registry.owner = None
         self._announce()
         self.other_processes = self.registry.others()
+        self._adopt_state_files()
         maintenance = Maintenance(self.maintenance_store.load())
         self.learned = self.learned_store.load(now)
         maintenance.restore_ramp_starts(self.learned.ramp_starts, now)
-        if self.maintenance_store.file.is_foreign or self.learned_store.file.is_foreign:
-            self.log.warning("ignoring the state files of another deployment in this folder")
+        self._keep_marks(maintenance)
         return maintenance
 
+    def _adopt_state_files(self) -> None:
+        """Chooses the state files that are this node's, and tells the other processes."""
+        deployment = self.maintenance_store.file.deployment
+        choice = choose_state_owner(self.folder, self.name, deployment, self.other_processes)
+        if choice.passed_over:
+            self.log.warning("ignoring the state files of another deployment in this folder")
+        self.registry.owner = choice.owner
+        for store in (self.maintenance_store, self.learned_store):
+            store.file.adopt(choice.owner)
+        self._announce()
+
+    def _keep_marks(self, maintenance: Maintenance) -> None:
+        """Keeps what is out of service on the disk under the settings in use; `sync` tries again."""
+        owed = {id: mark for id, mark in maintenance.marks.items() if mark.out_of_service}
+        try:
+            self.maintenance_store.keep(owed)
+        except BlockingIOError:
+            return  # another process of the node writes at this moment
+        except OSError as error:
+            if not self.keeping_failed:
+                self.log.warning("the maintenance state could not be written", error=repr(error))
+            self.keeping_failed = True
+        else:
+            self.keeping_failed = False
+
     def shared_ids(self) -> SharedIds | None:
         """Ids of requests that are open in any process of this node; None where the folder has no room."""
         try:
@@ -320,9 +346,12 @@
     def update_settings(self, decisions: dict[str, Any], host: NodeHost) -> None:
         """Applies new decision settings."""
         self.decisions = decisions
-        # From now on files are written under the new deployment. The state that was read under the old one is
-        # this node's own and stays in use.
-        self.maintenance_store.file.deployment = self.learned_store.file.deployment = Deployment.of(decisions)
+        # Before the settings are in use: a process that starts after a crash knows its state by the record.
+        deployment = Deployment.of(decisions, self.listen)
+        self.maintenance_store.file.deployment = deployment
+        self.learned_store.set_deployment(deployment)
+        self._keep_marks(host.maintenance)
+        self._save_learned(host)
         self._apply_settings(host)
 
     def set_node_count(self, host: NodeHost, nodes: int) -> None:
@@ -348,14 +377,20 @@
             self.active_count = active_count
             self._apply_settings(host)
         host.apply_maintenance(self.maintenance_store.load_if_changed())
-        if self.phase is Phase.SERVING:
-            # A limit learned beside another process is not saved: the two share a CPU core, so both lag.
-            limit = host.limit_per_backend if not other_processes else self.learned.limit_per_backend
-            self.learned = LearnedState(host.ramp_starts, limit)
-            try:
-                self.learned_store.save(self.learned, host.clock())
-            except OSError as error:
-                self.log.warning("the learned state could not be written", error=repr(error))
+        self._keep_marks(host.maintenance)
+        self._save_learned(host)
+
+    def _save_learned(self, host: NodeHost) -> None:
+        """Stores what this process has learned, if it serves."""
+        if self.phase is not Phase.SERVING:
+            return
+        # A limit learned beside another process is not saved: the two share a CPU core, so both lag.
+        limit = host.limit_per_backend if not self.other_processes else self.learned.limit_per_backend
+        self.learned = LearnedState(host.ramp_starts, limit)
+        try:
+            self.learned_store.save(self.learned, host.clock())
+        except OSError as error:
+            self.log.warning("the learned state could not be written", error=repr(error))
 
 
 async def _sweep(front: Front, pushes: PushDispatcher) -> None:
--- a/thornladder/rollout/keeper.py
+++ b/thornladder/rollout/keeper.py
@@ -31,7 +31,7 @@
 from thornladder.node.admin.calls import AdminRequest, AdminResponse, Endpoint, error_response
 from thornladder.node.admin.server import AdminServer
 from thornladder.node.companion import ExtensionEndpoint
-from thornladder.node.handover import StateFile
+from thornladder.node.state_files import StateFile
 from thornladder.node.tasks import Tasks
 from thornladder.rollout.core import NodeReport
 from thornladder.rollout.counters import settings_digest
