A maintenance call first takes in the calls at the node's other process

While two processes of a node ran, a backend put back at one and taken out at the other within 0.2 s was answered with yes and stayed in service; the other way round it stayed out though put back.

Cause: Operations.set_maintenance compared a call with the marks of its own process, which follows the other's each 0.2 s, and answered yes without storing where nothing seemed to change.

Why it works: what is compared is the last call at any process; writers are serialized and the later call wins.

--- a/thornladder/node/operations.py
+++ b/thornladder/node/operations.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import asdict
 from typing import Any
 
 from thornladder.node.admin.calls import AdminRequest, AdminResponse, Endpoint, error_response
 from thornladder.node.clients.front import Front
 from thornladder.node.companion import ExtensionEndpoint
+from thornladder.node.handover import MaintenanceStore
 from thornladder.node.host import NodeHost
 from thornladder.node.maintenance import MaintenanceMark
 from thornladder.node.memory.monitor import MemoryMonitor
@@ -34,11 +35,11 @@
         host: NodeHost,
         front: Front,
         memory: MemoryMonitor,
-        store: Callable[[dict[str, MaintenanceMark]], None],
+        store: MaintenanceStore,
         log: Any,
         extra_endpoints: Mapping[str, ExtensionEndpoint] = NO_ENDPOINTS,
     ) -> None:
-        """`store` writes maintenance marks to disk; a mark that cannot be stored is refused.
+        """`store` keeps maintenance marks on disk; a mark that cannot be stored is refused.
 
         `extra_endpoints`: endpoints of extensions by path.
         """
@@ -91,6 +92,8 @@
     def set_maintenance(self, backend: str, out_of_service: bool) -> AdminResponse:
         """Takes a backend out of service or puts it back; 404: unknown id, 503: it could not be stored."""
         maintenance = self.host.maintenance
+        # Another process of this node may have got a call that this one has not seen yet.
+        self.host.apply_maintenance(self.store.load_if_changed())
         if not maintenance.knows(backend):
             return error_response(404, "no such backend")
         before = maintenance.marks.get(backend)
@@ -98,7 +101,7 @@
             now = self.host.clock()
             mark = MaintenanceMark(out_of_service, max(now, before.set_at + 1e-6) if before else now)
             try:
-                self.store({backend: mark})
+                self.store.merge({backend: mark})
             except OSError as error:
                 self.log.warning("the maintenance state could not be written", error=repr(error))
                 return error_response(503, "it could not be written down")
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -147,7 +147,7 @@
             for extension in extensions
             for path, endpoint in extension.admin_endpoints().items()
         }
-        operations = Operations(host, front, memory, handover.maintenance_store.merge, log, extra_endpoints)
+        operations = Operations(host, front, memory, handover.maintenance_store, log, extra_endpoints)
         tasks.supervise("the idle connection sweep", _sweep, front, pushes)
         tasks.supervise("the handover", handover.run, host, front, pool, memory, memory_plan)
         tasks.supervise("the memory monitor", memory.run)
