--- a/thornladder/schema.py
+++ b/thornladder/schema.py
@@ -8,9 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
 from enum import Enum
-from typing import Any
+from typing import Any, NamedTuple
 
 from thornladder.fields import MICROS_PER_SECOND, MalformedError, get_field
 
@@ -30,8 +29,7 @@
     ON_REPLACEMENT = "on replacement"  # at the start an unexpected value is left to the decoding
 
 
-@dataclass(frozen=True, slots=True)
-class Key:
+class Key(NamedTuple):
     """One key of an object."""
 
     type: type
@@ -75,8 +73,7 @@
         return None
 
 
-@dataclass(frozen=True, slots=True)
-class ObjectSchema:
+class ObjectSchema(NamedTuple):
     """The declared keys of one kind of object. Others are permitted and ignored."""
 
     keys: Mapping[str, Key]
@@ -161,11 +158,10 @@
         yield (identity if isinstance(identity, str) else str(index)), item
 
 
-@dataclass(frozen=True, slots=True)
-class InForce:
+class InForce(NamedTuple):
     """What the configuration in force holds at the place of an object of its replacement."""
 
-    message: Mapping[str, Any] = field(default_factory=dict)  # the same object
+    message: Mapping[str, Any] = {}  # the same object
     similar: Sequence[Mapping[str, Any]] = ()  # if it is new in its list: the other objects of that list
     is_new: bool = False
 
