A connection that cannot be closed yet does not stop the accepting of others

Cause: Front._wait_for_room loops near the limit while _make_room is true, and that was so while any idle connection existed. One whose answer waits for its client is idle and close_if_idle refuses it, so the loop went on and nothing was accepted.

Change: at_rest is what may be closed, and the four looks at idle connections on this path ask it; _make_room says whether it closed any.

Why it works: each turn of the loop takes a connection away or ends the loop, and what cannot be closed takes nobody's turn. Related paths searched: the target of client connections (the same cause, mended with it), standby, memory relief (both go over all, no loop).

--- a/tests/test_accept_queue.py
+++ b/tests/test_accept_queue.py
@@ -29,6 +29,7 @@
 DEADLINE_SECONDS = 2.0
 # After a request's time, in which a final answer still counts.
 ANSWER_GRACE_SECONDS = 0.5
+LONG_BODY = bytes(62 * 1024)  # more than the buffers of a connection hold whose client does not read
 
 
 @asynccontextmanager
@@ -39,7 +40,7 @@
     settings: dict[str, Any] = copy.deepcopy(SETTINGS)
     for offering in settings["Classes"]:
         offering["HardLimit"] = round(DEADLINE_SECONDS * 1e6)
-    backend = FakeServer(lambda _: reply(200))
+    backend = FakeServer(lambda message: reply(200, LONG_BODY if message.target == "/pay" else b""))
     async with running_node(folder, backend, info=settings, sockets=descriptors) as (process, port):
         busy: list[Client] = []
         for number in range(count):
@@ -147,3 +148,68 @@
                 clients.append(await connect_and_send(port, f"queued{number}", 900))
         process.send_signal(signal.SIGCONT)
         assert {(await client.answer()).target for client in clients} <= {"200", "503"}
+
+
+@asynccontextmanager
+async def client_that_does_not_read(port: int) -> AsyncIterator[None]:
+    """A client with a long answer that it does not take, on a connection that is at rest otherwise."""
+    with socket.socket() as client:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        client.connect(("127.0.0.1", port))
+        client.sendall(b"POST /pay HTTP/1.1\r\nHost: a\r\nX-Call-Id: slow\r\nContent-Length: 1\r\n\r\nx")
+        client.setblocking(False)
+        with anyio.fail_after(DEADLINE_SECONDS):
+            await anyio.wait_readable(client)
+        assert b"close" not in client.recv(200, socket.MSG_PEEK)
+        yield
+
+
+# review/6: a node whose connections were nearly all in use accepted nothing for as long as one of its clients
+# had not taken all of its answer.
+async def test_a_client_that_does_not_take_its_answer_keeps_no_other_from_being_accepted(
+    tmp_path: Path,
+) -> None:
+    async with (
+        node_with_busy_connections(tmp_path, count=0) as (_, port),
+        client_that_does_not_read(port),
+    ):
+        halves = [await connect(port) for _ in range(MAX_CLIENTS - 1)]
+        for client in halves:
+            await client.stream.send(HALF_HEAD)
+        for number in range(3):
+            with anyio.fail_after(0.3 + ANSWER_GRACE_SECONDS):
+                client = await connect_and_send(port, f"queued{number}", 300)
+                assert (await client.answer()).target in ("200", "503")
+
+
+# The same cause: the oldest connections at rest were looked at, and those among them that could not be closed
+# kept younger ones from giving their place.
+async def test_connections_that_cannot_be_closed_keep_no_other_from_giving_its_place(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    closed: list[int] = []
+
+    class RestingConnection:
+        silent, closing = False, False
+
+        def __init__(self, number: int, has_taken_its_answer: bool) -> None:
+            self.last_activity, self.has_taken_its_answer = float(number), has_taken_its_answer
+
+        @property
+        def at_rest(self) -> bool:
+            return self.has_taken_its_answer and not self.closing
+
+        def close_if_idle(self, _: object) -> bool:
+            if self.at_rest:
+                self.closing = True
+                closed.append(int(self.last_activity))
+            return self.closing
+
+    state = ServerState(
+        None, {}, lambda: 100.0, MemoryBudget(2**20), lambda: False, lambda *_: None, RecordingLog()
+    )
+    front = Front(state, 10, None)
+    front.connections = {RestingConnection(number, number > 4) for number in range(8)}
+    assert front._make_room() and closed == [5, 6]  # a tenth of the limit and one
+    assert front._make_room() and closed == [5, 6, 7]
+    assert not front._make_room()
--- a/thornladder/node/clients/connection.py
+++ b/thornladder/node/clients/connection.py
@@ -120,6 +120,11 @@
         busy = self.initial_data or self.http.trailing_data[0] or self.discarding or self.download
         return self.request is None and self.exchange is None and not self.outbox and not busy
 
+    @property
+    def at_rest(self) -> bool:
+        """Whether the connection may be closed: it is idle, and the kernel has taken its last response."""
+        return self.idle and not self.closing and not streams.unsent_bytes(self.stream)
+
     @property
     def last_response_sent(self) -> bool:
         """Whether the connection is closing and the kernel has taken its last response."""
@@ -197,7 +202,7 @@
         The look and the close are one step: a client whose request is in transit then gets a reset, and sends
         it again on another connection.
         """
-        if not self.idle or self.closing or streams.unsent_bytes(self.stream):
+        if not self.at_rest:
             return False
         result = streams.end_if_nothing_unread(self.stream)
         if result is streams.EndResult.DATA_UNREAD:
--- a/thornladder/node/clients/front.py
+++ b/thornladder/node/clients/front.py
@@ -138,7 +138,7 @@
             return self.connection_count < self.max_connections + self.MAX_EXTRA_CONNECTIONS
         if now - self.full_since > self.MAX_QUEUE_SECONDS:
             return True
-        return not any(connection.idle and not connection.closing for connection in self.connections)
+        return not any(connection.at_rest for connection in self.connections)
 
     async def _accept_until_quiet(self, listener: socket.socket) -> None:
         """Accepts connections until none has come for ACCEPT_QUIET_SECONDS."""
@@ -393,14 +393,14 @@
             connection
             for connection in self.connections
             if connection.request_seen
-            and connection.idle
+            and connection.at_rest
             and now - connection.last_activity > self.EXPECTED_IDLE_SECONDS
         ]
         for connection in sorted(unused, key=lambda connection: connection.last_activity)[:excess]:
             self._run_isolated(connection, connection.close_if_idle, CloseReason.CLIENT_POOL)
 
     def _make_room(self) -> bool:
-        """Closes some silent connections, or else some idle ones, oldest first; returns whether it found any.
+        """Closes some silent connections, or else some at rest, oldest first; returns whether it closed any.
 
         Many connections that never send anything must not lock out other clients.
         """
@@ -410,17 +410,23 @@
             for connection in self.connections
             if connection.silent and now - connection.message_started_at > self.FIRST_BYTE_GRACE_SECONDS
         ]
-        for connection in sorted(silent, key=lambda connection: connection.message_started_at)[:count]:
-            self._run_isolated(connection, connection.close_if_idle, CloseReason.CONNECTION_LIMIT)
-        return bool(silent) or self._close_oldest_idle(count)
+        silent.sort(key=lambda connection: connection.message_started_at)
+        return self._close_each(silent[:count], CloseReason.CONNECTION_LIMIT) or self._close_oldest_idle(
+            count
+        )
 
     def _close_oldest_idle(self, count: int) -> bool:
-        """Closes up to `count` idle connections; returns whether there were any."""
+        """Closes up to `count` connections at rest; returns whether it closed any."""
         reason = CloseReason.SHUTDOWN if self.server_state.draining else CloseReason.CONNECTION_LIMIT
-        idle = [connection for connection in self.connections if connection.idle and not connection.closing]
-        for connection in sorted(idle, key=lambda connection: connection.last_activity)[:count]:
+        at_rest = [connection for connection in self.connections if connection.at_rest]
+        at_rest.sort(key=lambda connection: connection.last_activity)
+        return self._close_each(at_rest[:count], reason)
+
+    def _close_each(self, connections: list[ClientConnection], reason: CloseReason) -> bool:
+        """Closes connections on which nothing has arrived meanwhile; returns whether it closed any."""
+        for connection in connections:
             self._run_isolated(connection, connection.close_if_idle, reason)
-        return bool(idle)
+        return any(connection.closing for connection in connections)
 
     def _run_isolated(
         self, connection: ClientConnection, action: Callable[..., None], *arguments: Any
