A maintenance call drains a backend that the list has left out

Cause: Maintenance.update passed over ids that are not listed, and knows() said yes to them, so the module never heard of the call.

Why it works: the last entry of a backend that left is kept for as long as its id is known, and the call is told as its drain, which binds under SoftRemoval as well.

--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -14,6 +14,7 @@
 from harness import (
     NODE_COMMAND,
     READY_REQUEST,
+    SETTINGS,
     LoopbackCluster,
     ReceivedMessage,
     config,
@@ -170,6 +171,37 @@
             await wait_until_used()
 
 
+def soft_removal_settings() -> dict:
+    """Settings under which only a listed drain binds."""
+    return {**SETTINGS, "Rules": {**SETTINGS["Rules"], "SoftRemoval": True}}
+
+
+# review/8: under SoftRemoval a backend that the list had left out is used on, and a call that took it out was
+# answered with yes and had no effect.
+@pytest.mark.parametrize("whole_list", [False, True], ids=["terminated", "left out"])
+async def test_backend_that_has_left_the_list_gets_no_requests_once_it_is_in_maintenance(
+    whole_list: bool,
+) -> None:
+    async with LoopbackCluster(done, done, info=soft_removal_settings()) as cluster:
+        first, second = cluster.backends
+        await wait_until(lambda: any("from=1&" in got.target for got in cluster.discovery.received))
+        lines = [list_line(1, second.port)] if whole_list else [list_line(0, first.port, "terminated")]
+        cluster.discovery.answer = lambda got: (
+            list_reply(2, *lines, snapshot=whole_list) if "from=1&" in got.target else None
+        )
+        await cluster.discovery.streams[-1].aclose()
+        await wait_until(lambda: any("from=2&" in got.target for got in cluster.discovery.received))
+        count = len(first.received)
+        for number in range(12):
+            assert (await cluster.ask(f"a{number}", "look")).target == "200"
+        assert len(first.received) > count  # it is still in use
+        assert (await cluster.call("POST", "/maintenance/enter", body("s0")))[0] == 200
+        count = len(first.received)
+        for number in range(12):
+            assert (await cluster.ask(f"b{number}", "look")).target == "200"
+        assert len(first.received) == count
+
+
 async def test_earlier_ejection_ends_when_a_backend_is_put_back() -> None:
     hung = True
     async with LoopbackCluster(lambda _: None if hung else reply(200)) as cluster:
@@ -265,6 +297,18 @@
     )  # by discovery's word
 
 
+def test_a_mark_on_a_backend_that_has_left_the_list_drains_it_and_lists_it_no_more() -> None:
+    maintenance = Maintenance()
+    maintenance.apply(answer(entry("a"), entry("b")), 60.0)
+    maintenance.apply(answer(entry("b")), 61.0)
+    changes = maintenance.update({"a": MaintenanceMark(True, 62.0)})
+    assert changes.entries == [entry("a", State.DRAINING)] and changes.addresses == {}
+    assert maintenance.update({"a": MaintenanceMark(False, 63.0)}) is None  # until it is listed again
+    [relisted] = maintenance.apply(answer(entry("a"), kind=ListKind.DELTA), 64.0).entries
+    assert (relisted.state, relisted.started_at) == (State.RUNNING, 63.0)
+    assert maintenance.update({"c": MaintenanceMark(True, 65.0)}) is None
+
+
 def test_marks_are_written_atomically_and_two_writers_lose_none(tmp_path: Path) -> None:
     first_store, second_store = MaintenanceStore(str(tmp_path), "n/1"), MaintenanceStore(str(tmp_path), "n/1")
     other_node_store = MaintenanceStore(str(tmp_path), "n_1")
--- a/thornladder/node/maintenance.py
+++ b/thornladder/node/maintenance.py
@@ -21,6 +21,13 @@
     set_at: float  # Unix time of the call, seconds
 
 
+class RemovedBackend(NamedTuple):
+    """A backend that has left the list."""
+
+    entry: Entry  # the last one
+    at: float  # Unix time
+
+
 class Maintenance:
     """Applies maintenance marks to endpoint lists; knows the last list of discovery."""
 
@@ -30,7 +37,7 @@
         self.marks: dict[str, MaintenanceMark] = dict(marks or {})  # by id
         self.entries: dict[str, Entry] = {}  # as discovery listed them last
         self.addresses: dict[str, Address] = {}
-        self.removed_at: dict[str, float] = {}  # ids that left the list, with the time
+        self.removed: dict[str, RemovedBackend] = {}  # those that left the list lately, by id
 
     @property
     def out_of_service(self) -> list[str]:
@@ -39,24 +46,22 @@
     def knows(self, id: str) -> bool:
         """Whether the id is listed, was listed lately, or is out of service."""
         return (
-            id in self.entries
-            or id in self.removed_at
-            or (id in self.marks and self.marks[id].out_of_service)
+            id in self.entries or id in self.removed or (id in self.marks and self.marks[id].out_of_service)
         )
 
     def apply(self, answer: DiscoveryResponse, now: float) -> DiscoveryResponse:
         """Records a response of discovery and returns it with the marks applied; `now` is Unix time."""
         listed = {entry.backend for entry in answer.entries}
-        gone = {entry.backend for entry in answer.entries if entry.state is State.GONE}
+        gone = {entry.backend: entry for entry in answer.entries if entry.state is State.GONE}
         if answer.kind is not ListKind.DELTA:
-            gone |= self.entries.keys() - listed
+            gone |= {id: entry for id, entry in self.entries.items() if id not in listed}
         for entry in answer.entries:
             if entry.state is not State.GONE:
                 self.entries[entry.backend] = entry
-                self.removed_at.pop(entry.backend, None)
-        for id in gone:
+                self.removed.pop(entry.backend, None)
+        for id, entry in gone.items():
             self.entries.pop(id, None)
-            self.removed_at.setdefault(id, now)
+            self.removed.setdefault(id, RemovedBackend(entry, now))
         self.addresses.update(answer.addresses)
         self._expire(now)
         return DiscoveryResponse(
@@ -72,14 +77,19 @@
                 continue
             self.marks[id] = mark
             # Only a real change counts: a backend that was in service is not put back, so it does not ramp.
-            if mark.out_of_service != (before is not None and before.out_of_service) and id in self.entries:
+            if mark.out_of_service == (before is not None and before.out_of_service):
+                continue
+            if id in self.entries:
                 entries.append(self._overlay(self.entries[id]))
+            elif id in self.removed and mark.out_of_service:
+                # It may still be in use where only a drain binds.
+                entries.append(self.removed[id].entry._replace(state=State.DRAINING))
         if not entries:
             return None
         addresses = {
             entry.backend: self.addresses[entry.backend]
             for entry in entries
-            if entry.backend in self.addresses
+            if entry.backend in self.entries and entry.backend in self.addresses
         }
         return DiscoveryResponse(None, ListKind.DELTA, entries, addresses)
 
@@ -100,8 +110,8 @@
         return entry._replace(started_at=max(entry.started_at or 0.0, mark.set_at))
 
     def _expire(self, now: float) -> None:
-        for id in [id for id, since in self.removed_at.items() if now - since > self.RETENTION_SECONDS]:
-            del self.removed_at[id]
+        for id in [id for id, removed in self.removed.items() if now - removed.at > self.RETENTION_SECONDS]:
+            del self.removed[id]
             self.addresses.pop(id, None)
         for id in [
             id
