A process that discovery does not answer takes in which backends leave

Cause: a new process opens after 3 s with the list of its configuration; of what the process before it was told only starts of slow start and maintenance were handed over.

Change: a process that discovery has answered writes what it was told to drain or gone with the version of its list, when that changes. One that it has not answered takes it in for what its older list has as running. Discovery's first answer ends it.

Why it works: what is taken in is newer than the list by the version that both come from, and discovery's answer since that version has all that came back.

Failed tries: a kind of list change that leaves the list's age alone (no test could show a harm of its lack: the gate at the socket holds); asking for the whole list after taking something in (a crowd of upgrades would ask discovery for it).

--- a/tests/test_state_ownership.py
+++ b/tests/test_state_ownership.py
@@ -52,6 +52,7 @@
         self.maintenance, self.clock = maintenance, clock
         self.ramp_starts: dict[str, float] = {}
         self.limit_per_backend = 1.0
+        self.discovery_answered = True
         lines = [Entry(id, State.RUNNING, "x", 0, 1.0, None, "m") for id in BACKENDS]
         maintenance.apply(DiscoveryResponse(1, ListKind.SNAPSHOT, lines, {}), clock())
 
--- a/thornladder/node/handover.py
+++ b/thornladder/node/handover.py
@@ -9,8 +9,9 @@
 from enum import Enum
 from typing import NamedTuple
 
-from thornladder.fields import MalformedError, get_field, get_objects
-from thornladder.node.maintenance import MaintenanceMark
+from thornladder.fields import MalformedError, get_choice, get_field, get_objects
+from thornladder.interface import State
+from thornladder.node.maintenance import NO_DEPARTURES, Departures, MaintenanceMark
 from thornladder.node.state_files import (
     ANY_DEPLOYMENT,
     FIRST_OWNER,
@@ -22,6 +23,8 @@
     state_path,
 )
 
+_DEPARTED = {state.value: state for state in (State.DRAINING, State.GONE)}
+
 
 class Phase(Enum):
     """Stage in the life of a process of this node."""
@@ -155,6 +158,39 @@
             self.saved, self.saved_at = learned, now
 
 
+class DepartureStore:
+    """Stores on disk which backends drain or are gone, for a process that discovery does not answer."""
+
+    SUFFIX = "departures"
+
+    def __init__(self, folder: str, node: str, deployment: Deployment = ANY_DEPLOYMENT) -> None:
+        self.file = StateFile(folder, node, self.SUFFIX, deployment)
+        self.loaded_fingerprint: tuple[int, int] | None = None
+        self.saved = NO_DEPARTURES
+
+    def load_if_changed(self) -> Departures:
+        """What is stored, if the file has changed since this object last read it; else none."""
+        fingerprint = self.file.fingerprint()
+        if fingerprint == self.loaded_fingerprint:
+            return NO_DEPARTURES
+        self.loaded_fingerprint = fingerprint
+        content = self.file.read() or {}
+        states: dict[str, State] = {}
+        with suppress(MalformedError):
+            for item in get_objects(content, "backends"):
+                states[get_field(item, "id", str)] = get_choice(_DEPARTED, item, "state")
+            return Departures(get_field(content, "version", int), states)
+        return NO_DEPARTURES
+
+    def save(self, departures: Departures) -> None:
+        """Writes if another state was saved last; raises OSError."""
+        if departures == self.saved:
+            return
+        backends = [{"id": id, "state": state.value} for id, state in sorted(departures.states.items())]
+        self.file.write({"version": departures.version, "backends": backends})
+        self.saved = departures
+
+
 class MaintenanceStore:
     """Stores the last maintenance call for each backend id on disk.
 
@@ -240,5 +276,5 @@
     """Chooses the owner whose state files a starting process uses, given the node's other processes."""
     serving_first = sorted(other_processes, key=lambda other: other.phase is not Phase.SERVING)
     live_owners = [other.owner for other in serving_first if other.owner is not None]
-    suffixes = (MaintenanceStore.SUFFIX, LearnedStateStore.SUFFIX)
+    suffixes = (MaintenanceStore.SUFFIX, LearnedStateStore.SUFFIX, DepartureStore.SUFFIX)
     return choose_owner(folder, node, suffixes, deployment, live_owners)
--- a/thornladder/node/host.py
+++ b/thornladder/node/host.py
@@ -21,7 +21,7 @@
 from thornladder.node.backends.pushes import PushDispatcher
 from thornladder.node.discovery.watch import Watch
 from thornladder.node.exchange import Exchange
-from thornladder.node.maintenance import Maintenance, MaintenanceMark
+from thornladder.node.maintenance import Departures, Maintenance, MaintenanceMark
 from thornladder.node.messages import ClientResponse, DiscoveryResponse, FinalOutcome
 from thornladder.node.request_ids import RequestIds
 from thornladder.node.tasks import Tasks
@@ -377,6 +377,15 @@
                 # An earlier ejection concerned the process before its restart; a good probe readmits it.
                 self.pushes.start_probe(entry.backend)
 
+    def take_departures(self, departures: Departures) -> None:
+        """Takes in what another process of this node was told, until discovery answers this one."""
+        changes = self.maintenance.take_departures(departures, self.clock())
+        if changes is None:
+            return
+        backends = sorted(entry.backend for entry in changes.entries)
+        self.logger.info("another process knows of backends that leave", backends=backends)
+        self._apply_list(changes)
+
     def _apply_list(self, answer: DiscoveryResponse) -> None:
         # The module first, so that it picks no draining backend even if closing its connections fails.
         self._dispatch(self.node.on_list, answer.kind, answer.entries)
--- a/thornladder/node/maintenance.py
+++ b/thornladder/node/maintenance.py
@@ -26,6 +26,17 @@
 
     entry: Entry  # the last one
     at: float  # Unix time
+    was_draining: bool  # when it left
+
+
+class Departures(NamedTuple):
+    """Which backends a process of a node was told to drain or gone."""
+
+    version: int  # of the list by which it was told
+    states: dict[str, State]  # by backend id
+
+
+NO_DEPARTURES = Departures(0, {})
 
 
 class Maintenance:
@@ -37,6 +48,7 @@
         self.marks: dict[str, MaintenanceMark] = dict(marks or {})  # by id
         self.entries: dict[str, Entry] = {}  # as discovery listed them last
         self.addresses: dict[str, Address] = {}
+        self.version: int | None = None  # of the list; None: not known
         self.removed: dict[str, RemovedBackend] = {}  # those that left the list lately, by id
 
     @property
@@ -60,8 +72,11 @@
                 self.entries[entry.backend] = entry
                 self.removed.pop(entry.backend, None)
         for id, entry in gone.items():
-            self.entries.pop(id, None)
-            self.removed.setdefault(id, RemovedBackend(entry, now))
+            before = self.entries.pop(id, None)
+            was_draining = before is not None and before.state is State.DRAINING
+            self.removed.setdefault(id, RemovedBackend(entry, now, was_draining))
+        if answer.version is not None:
+            self.version = answer.version
         self.addresses.update(answer.addresses)
         self._expire(now)
         return DiscoveryResponse(
@@ -93,6 +108,29 @@
         }
         return DiscoveryResponse(None, ListKind.DELTA, entries, addresses)
 
+    @property
+    def departures(self) -> Departures:
+        """The backends that discovery has told to drain, or as gone."""
+        states = {
+            id: State.DRAINING if removed.was_draining else State.GONE for id, removed in self.removed.items()
+        }
+        draining = {id for id, entry in self.entries.items() if entry.state is State.DRAINING}
+        return Departures(self.version or 0, {**states, **dict.fromkeys(draining, State.DRAINING)})
+
+    def take_departures(self, departures: Departures, now: float) -> DiscoveryResponse | None:
+        """Takes in what another process of this node was told later than the list that this one has.
+
+        Returns the entries that change, or None. `now` is Unix time.
+        """
+        if self.version is None or departures.version <= self.version:
+            return None
+        entries = [
+            entry._replace(state=departures.states[id])
+            for id, entry in self.entries.items()
+            if entry.state is State.RUNNING and id in departures.states
+        ]
+        return self.apply(DiscoveryResponse(None, ListKind.DELTA, entries, {}), now) if entries else None
+
     def restore_ramp_starts(self, starts: dict[str, float], now: float) -> None:
         """Takes start times from another process of this node, for ids whose own are older or unknown."""
         for id, started_at in starts.items():
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -23,6 +23,7 @@
 from thornladder.node.companion import NodeContext, NodeExtension
 from thornladder.node.discovery.watch import Watch
 from thornladder.node.handover import (
+    DepartureStore,
     LearnedState,
     LearnedStateStore,
     MaintenanceStore,
@@ -224,12 +225,14 @@
             LearnedStateStore(config.folder, config.name, deployment),
             LearnedState({}),
         )
+        self.departure_store = DepartureStore(config.folder, config.name, deployment)
         self.registry = ProcessRegistry(config.folder, config.name)
         self.ids_path = state_path(config.folder, config.name, "ids")
         self.phase = Phase.STARTING
         self.other_processes: list[ProcessStatus] = []
         self.descriptors_used = 0
-        self.announcing_failed = self.keeping_failed = False  # at the last try
+        # At the last try.
+        self.announcing_failed = self.keeping_failed = self.sharing_failed = False
         # Limits of the whole node: client connections, backend connections.
         self.node_limits: tuple[int, int] | None = None
         self.node_count: int | None = None  # reported by an extension; None: as in the settings
@@ -255,7 +258,7 @@
         if choice.passed_over:
             self.log.warning("ignoring the state files of another deployment in this folder")
         self.registry.owner = choice.owner
-        for store in (self.maintenance_store, self.learned_store):
+        for store in (self.maintenance_store, self.learned_store, self.departure_store):
             store.file.adopt(choice.owner)
         self._announce()
 
@@ -348,7 +351,7 @@
         self.decisions = decisions
         # Before the settings are in use: a process that starts after a crash knows its state by the record.
         deployment = Deployment.of(decisions, self.listen)
-        self.maintenance_store.file.deployment = deployment
+        self.maintenance_store.file.deployment = self.departure_store.file.deployment = deployment
         self.learned_store.set_deployment(deployment)
         self._keep_marks(host.maintenance)
         self._save_learned(host)
@@ -378,8 +381,23 @@
             self._apply_settings(host)
         host.apply_maintenance(self.maintenance_store.load_if_changed())
         self._keep_marks(host.maintenance)
+        self._share_departures(host)
         self._save_learned(host)
 
+    def _share_departures(self, host: NodeHost) -> None:
+        """Tells the other processes which backends leave; learns it from them until discovery answers."""
+        if not host.discovery_answered:
+            host.take_departures(self.departure_store.load_if_changed())
+            return
+        try:
+            self.departure_store.save(host.maintenance.departures)
+        except OSError as error:
+            if not self.sharing_failed:
+                self.log.warning("the backends that leave could not be written", error=repr(error))
+            self.sharing_failed = True
+        else:
+            self.sharing_failed = False
+
     def _save_learned(self, host: NodeHost) -> None:
         """Stores what this process has learned, if it serves."""
         if self.phase is not Phase.SERVING:
