Writes to the node's folder share one way of logging and trying again

The same lines stood three times (the state of a process, marks, departures); the learned state logged each failure, five a second on a full disk, and logs the first of a row now. Departures are computed when the list changes, not at each look (3,200 backends, five looks a second). No change of what is written; the tests of a full disk pass as they were (tests/test_disk.py, test_state_ownership.py, test_departures.py).

--- a/thornladder/node/maintenance.py
+++ b/thornladder/node/maintenance.py
@@ -50,6 +50,7 @@
         self.addresses: dict[str, Address] = {}
         self.version: int | None = None  # of the list; None: not known
         self.removed: dict[str, RemovedBackend] = {}  # those that left the list lately, by id
+        self._departures: Departures | None = None  # None: the list has changed since they were computed
 
     @property
     def out_of_service(self) -> list[str]:
@@ -63,6 +64,7 @@
 
     def apply(self, answer: DiscoveryResponse, now: float) -> DiscoveryResponse:
         """Records a response of discovery and returns it with the marks applied; `now` is Unix time."""
+        self._departures = None
         listed = {entry.backend for entry in answer.entries}
         gone = {entry.backend: entry for entry in answer.entries if entry.state is State.GONE}
         if answer.kind is not ListKind.DELTA:
@@ -111,6 +113,11 @@
     @property
     def departures(self) -> Departures:
         """The backends that discovery has told to drain, or as gone."""
+        if self._departures is None:
+            self._departures = self._compute_departures()
+        return self._departures
+
+    def _compute_departures(self) -> Departures:
         states = {
             id: State.DRAINING if removed.was_draining else State.GONE for id, removed in self.removed.items()
         }
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -231,8 +231,7 @@
         self.phase = Phase.STARTING
         self.other_processes: list[ProcessStatus] = []
         self.descriptors_used = 0
-        # At the last try.
-        self.announcing_failed = self.keeping_failed = self.sharing_failed = False
+        self.failing_writes: set[str] = set()  # log events of those that failed at the last try
         # Limits of the whole node: client connections, backend connections.
         self.node_limits: tuple[int, int] | None = None
         self.node_count: int | None = None  # reported by an extension; None: as in the settings
@@ -265,16 +264,8 @@
     def _keep_marks(self, maintenance: Maintenance) -> None:
         """Keeps what is out of service on the disk under the settings in use; `sync` tries again."""
         owed = {id: mark for id, mark in maintenance.marks.items() if mark.out_of_service}
-        try:
-            self.maintenance_store.keep(owed)
-        except BlockingIOError:
-            return  # another process of the node writes at this moment
-        except OSError as error:
-            if not self.keeping_failed:
-                self.log.warning("the maintenance state could not be written", error=repr(error))
-            self.keeping_failed = True
-        else:
-            self.keeping_failed = False
+        keep = partial(self.maintenance_store.keep, owed)
+        self._try_write(keep, "the maintenance state could not be written")
 
     def shared_ids(self) -> SharedIds | None:
         """Ids of requests that are open in any process of this node; None where the folder has no room."""
@@ -286,14 +277,21 @@
 
     def _announce(self) -> None:
         """Tells the other processes about this one; where that fails they see what it told before."""
+        announce = partial(self.registry.announce, self.phase, self.descriptors_used)
+        self._try_write(announce, "the state of this process could not be written")
+
+    def _try_write(self, write: Callable[[], None], event: str) -> None:
+        """Writes to the folder; `sync` tries again. Logs `event` for the first of failures in a row."""
         try:
-            self.registry.announce(self.phase, self.descriptors_used)
+            write()
+        except BlockingIOError:
+            return  # another process of the node writes at this moment
         except OSError as error:
-            if not self.announcing_failed:
-                self.log.warning("the state of this process could not be written", error=repr(error))
-            self.announcing_failed = True
+            if event not in self.failing_writes:
+                self.log.warning(event, error=repr(error))
+            self.failing_writes.add(event)
         else:
-            self.announcing_failed = False
+            self.failing_writes.discard(event)
 
     async def run(
         self,
@@ -389,14 +387,8 @@
         if not host.discovery_answered:
             host.take_departures(self.departure_store.load_if_changed())
             return
-        try:
-            self.departure_store.save(host.maintenance.departures)
-        except OSError as error:
-            if not self.sharing_failed:
-                self.log.warning("the backends that leave could not be written", error=repr(error))
-            self.sharing_failed = True
-        else:
-            self.sharing_failed = False
+        save = partial(self.departure_store.save, host.maintenance.departures)
+        self._try_write(save, "the backends that leave could not be written")
 
     def _save_learned(self, host: NodeHost) -> None:
         """Stores what this process has learned, if it serves."""
@@ -405,10 +397,8 @@
         # A limit learned beside another process is not saved: the two share a CPU core, so both lag.
         limit = host.limit_per_backend if not self.other_processes else self.learned.limit_per_backend
         self.learned = LearnedState(host.ramp_starts, limit)
-        try:
-            self.learned_store.save(self.learned, host.clock())
-        except OSError as error:
-            self.log.warning("the learned state could not be written", error=repr(error))
+        save = partial(self.learned_store.save, self.learned, host.clock())
+        self._try_write(save, "the learned state could not be written")
 
 
 async def _sweep(front: Front, pushes: PushDispatcher) -> None:
