--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -92,11 +92,16 @@
     departures = Departures(7, {"a": State.DRAINING, "b": State.GONE})
     writer, reader = DepartureStore(str(tmp_path), "n"), DepartureStore(str(tmp_path), "n")
     assert reader.load_if_changed() == NO_DEPARTURES
-    writer.save(departures)
+    writer.save(departures, 100.0)
     assert reader.load_if_changed() == departures and reader.load_if_changed() == NO_DEPARTURES
     fingerprint = writer.file.fingerprint()
-    writer.save(departures)
+    writer.save(departures, 102.0)
+    writer.save(departures._replace(version=8), 100.5)  # too soon
     assert writer.file.fingerprint() == fingerprint
+    for now in (101.5, 50.0):  # in time, and after a step of the clock
+        changed = departures._replace(version=round(now))
+        writer.save(changed, now)
+        assert reader.load_if_changed() == changed
     StateFile(str(tmp_path), "n", "departures").write(
         {"version": 8, "backends": [{"id": "a", "state": "odd"}]}
     )
@@ -109,6 +114,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     process = FakeProcess(tmp_path, settings_of("look"), lambda: 1000.0)
+    process.host.clock = lambda: 1002.0  # later than the first write
     process.host.maintenance.apply(listed(entry("s1"), entry("s2"), version=2), 1001.0)
 
     def fail(*_: object) -> None:
--- a/thornladder/node/handover.py
+++ b/thornladder/node/handover.py
@@ -50,9 +50,7 @@
 
     def __init__(self, folder: str, node: str) -> None:
         self.paths = [state_path(folder, node, f"process-{slot}") for slot in range(self.MAX_PROCESSES)]
-        self.owner: str | None = (
-            FIRST_OWNER  # of the state files that this process uses; None: not chosen yet
-        )
+        self.owner: str | None = FIRST_OWNER  # of its state files; None: not chosen yet
         self.own_slot: tuple[int, int] | None = None  # slot of this process and the descriptor of its file
 
     def announce(self, phase: Phase, descriptors: int) -> None:
@@ -162,11 +160,12 @@
     """Stores on disk which backends drain or are gone, for a process that discovery does not answer."""
 
     SUFFIX = "departures"
+    MIN_WRITE_SECONDS = 1.0  # between writes: while a large fleet is replaced, it changes all the time
 
     def __init__(self, folder: str, node: str, deployment: Deployment = ANY_DEPLOYMENT) -> None:
         self.file = StateFile(folder, node, self.SUFFIX, deployment)
         self.loaded_fingerprint: tuple[int, int] | None = None
-        self.saved = NO_DEPARTURES
+        self.saved, self.saved_at = NO_DEPARTURES, -self.MIN_WRITE_SECONDS
 
     def load_if_changed(self) -> Departures:
         """What is stored, if the file has changed since this object last read it; else none."""
@@ -182,13 +181,16 @@
             return Departures(get_field(content, "version", int), states)
         return NO_DEPARTURES
 
-    def save(self, departures: Departures) -> None:
-        """Writes if another state was saved last; raises OSError."""
-        if departures == self.saved:
+    def save(self, departures: Departures, now: float) -> None:
+        """Writes what has changed, unless the last write is less than a second ago; raises OSError.
+
+        `now`: Unix time in seconds.
+        """
+        if departures == self.saved or 0.0 <= now - self.saved_at < self.MIN_WRITE_SECONDS:
             return
         backends = [{"id": id, "state": state.value} for id, state in sorted(departures.states.items())]
         self.file.write({"version": departures.version, "backends": backends})
-        self.saved = departures
+        self.saved, self.saved_at = departures, now
 
 
 class MaintenanceStore:
--- a/thornladder/node/service.py
+++ b/thornladder/node/service.py
@@ -387,7 +387,7 @@
         if not host.discovery_answered:
             host.take_departures(self.departure_store.load_if_changed())
             return
-        save = partial(self.departure_store.save, host.maintenance.departures)
+        save = partial(self.departure_store.save, host.maintenance.departures, host.clock())
         self._try_write(save, "the backends that leave could not be written")
 
     def _save_learned(self, host: NodeHost) -> None:
