--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -380,7 +380,7 @@
 class ConnectionStub:
     """A connection with half a request."""
 
-    idle = closing = last_response_sent = False
+    idle = at_rest = closing = last_response_sent = False
     exchange = None
 
     def __init__(self, calls: list[str]) -> None:
