--- a/tests/test_settings_schema.py
+++ b/tests/test_settings_schema.py
@@ -84,6 +84,7 @@
 }  # fmt: skip
 # A value of another type than the page's is no hindrance at the start where nothing reads the key.
 UNREAD_AT_THE_START = {
+    "known.generation", "known.reset", "known.instances",
     "settings.Clients", "settings.Clients.MarksRetry", "settings.Discovery", "settings.Domain",
     "settings.Domain.PassesDeadline", "settings.Domain.WarmKeys", "settings.Family", "settings.Kinds",
     "settings.Localities", "settings.Tick", "settings.Tier", "settings.Tiers", "settings.WeightSource",
--- a/thornladder/settings_schema.py
+++ b/thornladder/settings_schema.py
@@ -158,13 +158,16 @@
     "sockets": _count(default=1024, exclusive=True),
 })  # fmt: skip
 
+# In the form of discovery's answers, whose decoding checks the instances. Used at the start alone.
+KNOWN = ObjectSchema({"generation": _count(), "reset": Key(bool), "instances": Key(list)})
+
 CONFIGURATION = ObjectSchema({
     "name": Key(str, default=""),
     "listen": Key(str, REQUIRED),
     "discovery": Key(str, REQUIRED),
     "seed": Key(str, REQUIRED),
     "limits": _object(RESOURCES),
-    "known": Key(dict),  # in the form of discovery's answers, and used at the start alone
+    "known": _object(KNOWN),
     "settings": _object(SETTINGS, presence=REQUIRED),
     "admin_addr": Key(str, OPTIONAL, default=""),
 })  # fmt: skip
